--- /dev/null
+++ b/lib/bench/class_tally.cpp
@@ -0,0 +1,61 @@
+#include "peridotwheel/bench/class_tally.h"
+
+namespace peridotwheel {
+
+namespace {
+
+void addToBin(std::vector<std::uint64_t> &bins, std::size_t index, std::uint64_t n)
+{
+    if (bins.size() <= index)
+        bins.resize(index + 1);
+    bins[index] += n;
+}
+
+} // namespace
+
+void class_tally::record(const class_spec &spec, duration sinceStart, const observed_reply &reply)
+{
+    const auto bin = static_cast<std::size_t>(sinceStart / binWidth);
+    ++sent;
+    addToBin(sentByBin, bin, 1);
+    addToBin(usefulByBin, bin, 0);
+    refusedNotRun += reply.refusedNotRun ? 1 : 0;
+    unknown += reply.unknown ? 1 : 0;
+    if (!reply.answered)
+        return;
+    ++answered;
+    latencies.add(reply.latency);
+    coverageSum += reply.coverage;
+    const bool inTime = reply.latency <= spec.latencyTarget;
+    if (!inTime || reply.coverage < spec.coverageTarget)
+        return;
+    ++inTarget;
+    addToBin(usefulByBin, bin, 1);
+}
+
+void class_tally::merge(const class_tally &other)
+{
+    sent += other.sent;
+    answered += other.answered;
+    inTarget += other.inTarget;
+    refusedNotRun += other.refusedNotRun;
+    unknown += other.unknown;
+    coverageSum += other.coverageSum;
+    latencies.merge(other.latencies);
+    for (std::size_t i = 0; i < other.usefulByBin.size(); ++i)
+        addToBin(usefulByBin, i, other.usefulByBin[i]);
+    for (std::size_t i = 0; i < other.sentByBin.size(); ++i)
+        addToBin(sentByBin, i, other.sentByBin[i]);
+}
+
+double class_tally::meanCoverage() const
+{
+    return answered == 0 ? 0.0 : coverageSum / static_cast<double>(answered);
+}
+
+double class_tally::inTargetShare() const
+{
+    return sent == 0 ? 0.0 : static_cast<double>(inTarget) / static_cast<double>(sent);
+}
+
+} // namespace peridotwheel
