Add the operators' pages and the fleet client

Cause: operators steer by targets only, so they need pages that say what each instance knows, and a client that finds the instances by the platform's list.

--- /dev/null
+++ b/include/peridotwheel/entry/operator_service.h
@@ -0,0 +1,38 @@
+#ifndef PERIDOTWHEEL_ENTRY_OPERATOR_SERVICE_H
+#define PERIDOTWHEEL_ENTRY_OPERATOR_SERVICE_H
+
+#include "peridotwheel/http/http_message.h"
+#include "peridotwheel/membership/member.h"
+
+namespace peridotwheel {
+
+class counter_set;
+class event_ring;
+struct blackboard;
+
+/// The read-only pages of one instance for operators: `/operator/where`, `/operator/status`,
+/// `/operator/counters` and `/operator/timeline`. `peridotctl` asks every instance and merges.
+///
+/// It states only what this instance knows of itself and believes of others; it changes nothing.
+class operator_service
+{
+public:
+    operator_service(const blackboard &board, const counter_set &counters, const event_ring &events,
+                     member self);
+
+    http_reply handle(const http_request &request) const;
+
+private:
+    std::string wherePage() const;
+    std::string statusPage() const;
+    std::string countersPage() const;
+
+    const blackboard &m_board;
+    const counter_set &m_counters;
+    const event_ring &m_events;
+    member m_self;
+};
+
+} // namespace peridotwheel
+
+#endif
--- a/include/peridotwheel/support/libevent_ptr.h
+++ b/include/peridotwheel/support/libevent_ptr.h
@@ -7,6 +7,7 @@
 struct event_base;
 struct evhttp;
 struct evhttp_connection;
+struct evhttp_request;
 struct evbuffer;
 
 namespace peridotwheel {
--- /dev/null
+++ b/lib/ctl/fleet_client.cpp
@@ -0,0 +1,65 @@
+#include "peridotwheel/ctl/fleet_client.h"
+
+namespace peridotwheel {
+
+namespace {
+
+http_platform_options platformOptions(const endpoint &platform, duration timeout)
+{
+    http_platform_options options;
+    options.platform = platform;
+    options.timeout = timeout;
+    return options;
+}
+
+std::string describe(const http_outcome &outcome)
+{
+    if (outcome.failure == transport_failure::NotSent)
+        return "connection refused";
+    if (outcome.failure == transport_failure::MayHaveRun)
+        return "no reply";
+    return "HTTP status " + std::to_string(outcome.reply.status);
+}
+
+} // namespace
+
+fleet_client::fleet_client(const endpoint &platform, duration timeout)
+    : m_connector(m_loop)
+    , m_http(m_connector)
+    , m_platform(m_http, platformOptions(platform, timeout))
+    , m_timeout(timeout)
+{
+}
+
+result<std::vector<member>> fleet_client::instances()
+{
+    auto list = await<instance_list>([this](auto done) { m_platform.instances(std::move(done)); });
+    if (!list)
+        return list.error();
+    return std::move(list.value().instances);
+}
+
+std::vector<instance_page> fleet_client::fetch(const std::vector<member> &members,
+                                               const std::string &path)
+{
+    std::vector<instance_page> pages(members.size());
+    std::size_t open = members.size();
+    for (std::size_t i = 0; i < members.size(); ++i) {
+        pages[i].id = members[i].id;
+        pages[i].dataCentre = members[i].dataCentre;
+        m_http.send(members[i].operators, {http_method::Get, path, {}, ""}, m_timeout,
+                    [&, i](http_outcome outcome) {
+                        if (outcome.ok() && outcome.reply.status == 200)
+                            pages[i].body = std::move(outcome.reply.body);
+                        else
+                            pages[i].problem = describe(outcome);
+                        if (--open == 0)
+                            m_loop.stop();
+                    });
+    }
+    if (open != 0)
+        m_loop.run();
+    return pages;
+}
+
+} // namespace peridotwheel
