Read settings; record and merge the time line

Settings are checked key by key, and every error names file, key, value and remedy, because an instance that starts with a misread address is hard to find. Events carry a hybrid logical time, so that a merged time line shows causes before effects when clocks differ.

--- /dev/null
+++ b/include/peridotwheel/configuration/settings.h
@@ -0,0 +1,48 @@
+#ifndef PERIDOTWHEEL_CONFIGURATION_SETTINGS_H
+#define PERIDOTWHEEL_CONFIGURATION_SETTINGS_H
+
+#include "peridotwheel/http/http_message.h"
+#include "peridotwheel/support/error.h"
+#include "peridotwheel/support/ids.h"
+#include "peridotwheel/support/units.h"
+
+#include <cstdint>
+#include <string>
+
+namespace peridotwheel {
+
+/// What one instance must know before it can reach the platform; see docs/settings.md. Everything
+/// else is configuration and comes from the platform.
+struct settings
+{
+    instance_id id;
+    data_centre_id dataCentre;
+    /// Listening addresses. They differ, so that a caller cannot reach the other two interfaces.
+    endpoint callers;
+    endpoint peers;
+    endpoint operators;
+    endpoint platform;
+    std::uint64_t maxBodyBytes = 64 * 1024;
+    std::uint64_t maxConnections = 1024;
+    /// Queries that may wait for admission.
+    std::uint64_t maxWaiting = 10000;
+    /// Bound of a graceful shutdown; at most `maxShutdown`.
+    duration shutdown = seconds(10);
+    std::string logLevel = "info";
+};
+
+/// The platform stops waiting for a leaving instance after this time.
+constexpr duration maxShutdown = seconds(10);
+/// Larger settings files are refused without parsing them.
+constexpr std::size_t maxSettingsBytes = 64 * 1024;
+
+/// Reads the INI file at \p path. Errors are `InvalidArgument`, or `NotFound` for a file that
+/// cannot be read; the message names file, section, key, the value found and the remedy.
+result<settings> readSettings(const std::string &path);
+
+/// Like `readSettings`, for \p text; \p sourceName stands for the file in error messages.
+result<settings> parseSettings(const std::string &text, const std::string &sourceName);
+
+} // namespace peridotwheel
+
+#endif
--- /dev/null
+++ b/include/peridotwheel/timeline/event_ring.h
@@ -0,0 +1,46 @@
+#ifndef PERIDOTWHEEL_TIMELINE_EVENT_RING_H
+#define PERIDOTWHEEL_TIMELINE_EVENT_RING_H
+
+#include "peridotwheel/timeline/hybrid_clock.h"
+#include "peridotwheel/timeline/timeline_event.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace peridotwheel {
+
+/// The latest events of one process. A new event replaces the oldest one when the ring is full.
+class event_ring
+{
+public:
+    /// Longer texts are cut, so that the memory of the ring is bounded.
+    static constexpr std::size_t maxTextBytes = 256;
+
+    /// \p capacity is the number of events kept; at least 1.
+    event_ring(event_loop &loop, std::size_t capacity);
+    event_ring(const event_ring &) = delete;
+    event_ring &operator=(const event_ring &) = delete;
+
+    /// Stamps \p event and stores it.
+    void record(timeline_event event);
+    /// A sink that records here; valid as long as the ring.
+    event_sink sink();
+    hybrid_clock &clock() { return m_clock; }
+
+    /// The events kept, oldest first.
+    std::vector<timeline_event> events() const;
+    /// Number of events that were replaced since the start.
+    std::uint64_t dropped() const { return m_dropped; }
+
+private:
+    hybrid_clock m_clock;
+    std::size_t m_capacity;
+    std::vector<timeline_event> m_slots;
+    std::size_t m_oldest = 0;
+    std::uint64_t m_dropped = 0;
+};
+
+} // namespace peridotwheel
+
+#endif
