--- /dev/null
+++ b/include/peridotwheel/status/request_registry.h
@@ -0,0 +1,81 @@
+#ifndef PERIDOTWHEEL_STATUS_REQUEST_REGISTRY_H
+#define PERIDOTWHEEL_STATUS_REQUEST_REGISTRY_H
+
+#include "peridotwheel/query/query.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <optional>
+#include <unordered_map>
+
+namespace peridotwheel {
+
+/// What this instance remembers about one request.
+struct request_entry
+{
+    request_id id;
+    class_spec spec;
+    bool repeatable = true;
+    time_point arrival;
+    /// Empty while the request is in progress. The results are not kept.
+    std::optional<query_answer> answer;
+    time_point finished;
+};
+
+/// Bounds of the registry's memory.
+struct registry_limits
+{
+    /// Finished requests kept. An entry without missing shards takes about 500 bytes.
+    std::size_t maxFinished = 20000;
+    /// Scripts ask for the state of a request within minutes; later the claim store still knows
+    /// the requests that are not repeatable.
+    duration maxAge = seconds(600);
+};
+
+/// Remembers the recent requests of this instance by id.
+///
+/// Requests in progress are never evicted: the admission bounds limit their number.
+class request_registry
+{
+public:
+    using token = std::uint64_t;
+
+    explicit request_registry(registry_limits limits = {})
+        : m_limits(limits)
+    {
+    }
+
+    /// Records the start of \p request. The token ties the later `finish` to this try.
+    token begin(const query_request &request, time_point now);
+
+    /// Records the answer without its results. Has no effect if a later try of the same id began.
+    void finish(const request_id &id, token t, const query_answer &answer, time_point now);
+
+    /// The entry of \p id, or null. Valid until the next change.
+    const request_entry *find(const request_id &id, time_point now);
+
+    /// Number of entries, in progress or finished.
+    std::size_t size() const { return m_entries.size(); }
+    std::size_t inProgress() const { return m_entries.size() - m_finished.size(); }
+
+private:
+    struct slot
+    {
+        request_entry entry;
+        token current = 0;
+        /// Position in `m_finished`; meaningful only if the entry has an answer.
+        std::list<request_id>::iterator order;
+    };
+
+    void evict(time_point now);
+
+    registry_limits m_limits;
+    token m_next = 1;
+    std::unordered_map<request_id, slot> m_entries;
+    std::list<request_id> m_finished; // oldest first
+};
+
+} // namespace peridotwheel
+
+#endif
--- /dev/null
+++ b/lib/entry/answer_renderer.cpp
@@ -0,0 +1,162 @@
+#include "peridotwheel/entry/answer_renderer.h"
+
+#include "peridotwheel/status/status_text.h"
+
+#include <nlohmann/json.hpp>
+
+namespace peridotwheel {
+
+namespace {
+
+constexpr int httpOk = 200;
+
+/// \p text as a JSON string. Invalid UTF-8, which a backend's detail could hold, is replaced.
+std::string quoted(const std::string &text)
+{
+    return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+void appendCoverage(std::string &out, const query_answer &answer)
+{
+    out += ",\"snapshotVersion\":";
+    out += answer.version.value() == 0 ? "null" : std::to_string(answer.version.value());
+    out += ",\"coverage\":{\"answered\":" + std::to_string(answer.covered.answered);
+    out += ",\"total\":" + std::to_string(answer.covered.total) + ",\"missing\":[";
+    const char *separator = "";
+    for (const shard_id &id : answer.covered.missing) {
+        out += separator;
+        out += std::to_string(id.value());
+        separator = ",";
+    }
+    out += "]}";
+}
+
+void appendResults(std::string &out, const query_answer &answer)
+{
+    out += ",\"results\":[";
+    const char *separator = "";
+    for (const shard_result &r : answer.results) {
+        out += separator;
+        out += "{\"shard\":" + std::to_string(r.shard.value()) + ",\"value\":";
+        out += r.json.empty() ? "null" : r.json;
+        out += '}';
+        separator = ",";
+    }
+    out += ']';
+}
+
+void appendError(std::string &out, const char *kind, const std::string &message)
+{
+    out += ",\"error\":" + quoted(kind);
+    out += ",\"message\":" + quoted(message);
+}
+
+std::size_t sizeOf(const query_answer &answer)
+{
+    constexpr std::size_t perResult = 32;
+    constexpr std::size_t fixedPart = 1024;
+    std::size_t size = fixedPart + answer.covered.missing.size() * 8;
+    for (const shard_result &r : answer.results)
+        size += r.json.size() + perResult;
+    return size;
+}
+
+std::string head(const request_id &id, ran_state ran)
+{
+    std::string out = "{\"requestId\":";
+    out += id.value().empty() ? "null" : quoted(id.value());
+    out += ",\"ran\":\"";
+    out += toString(ran);
+    out += '"';
+    return out;
+}
+
+http_reply jsonReply(int status, std::string body, ran_state ran)
+{
+    http_reply reply{status, {{"Content-Type", "application/json"}}, std::move(body)};
+    if (ran == ran_state::No)
+        reply.headers.emplace_back("X-Not-Run", "1");
+    return reply;
+}
+
+const char *remedyOf(answer_kind kind)
+{
+    switch (kind) {
+    case answer_kind::Expired:
+        return "the deadline passed; send a larger deadlineMs or follow the status";
+    case answer_kind::RefusedLoad:
+        return "not run: the target cannot be met now; retry after the delay";
+    case answer_kind::RefusedState:
+        return "not run: this instance is not serving; retry, another instance will answer";
+    case answer_kind::RefusedClaim:
+        return "not run: the claim could not be confirmed; retry with the same requestId";
+    case answer_kind::InProgress:
+        return "a try with this requestId is in progress; ask GET /status/ID";
+    case answer_kind::OutcomeUnknown:
+        return "the request may have run; check its effect before issuing a new one";
+    default:
+        return "no server could answer; follow the status";
+    }
+}
+
+} // namespace
+
+int httpStatusOf(answer_kind kind)
+{
+    switch (kind) {
+    case answer_kind::Complete:
+    case answer_kind::Partial:
+        return httpOk;
+    case answer_kind::RefusedInput:
+        return 400;
+    case answer_kind::InProgress:
+        return 409;
+    case answer_kind::RefusedLoad:
+    case answer_kind::RefusedState:
+    case answer_kind::RefusedClaim:
+        return 503;
+    case answer_kind::Expired:
+    case answer_kind::OutcomeUnknown:
+        return 504;
+    case answer_kind::Failed:
+        return 502;
+    }
+    return 502;
+}
+
+http_reply renderAnswer(const request_id &id, const query_answer &answer,
+                        const std::string &statusText)
+{
+    const int status = httpStatusOf(answer.kind);
+    std::string body;
+    body.reserve(sizeOf(answer));
+    body += head(id, answer.ran);
+    appendCoverage(body, answer);
+    if (status == httpOk)
+        appendResults(body, answer);
+    if (status != httpOk)
+        appendError(body, toString(answer.kind),
+                    answer.detail.empty() ? remedyOf(answer.kind) : answer.detail);
+    body += ",\"status\":" + quoted(statusText) + "}\n";
+    http_reply reply = jsonReply(status, std::move(body), answer.ran);
+    if (answer.retryAfter && status != httpOk) {
+        const auto whole = std::chrono::ceil<seconds>(*answer.retryAfter);
+        reply.headers.emplace_back("Retry-After", std::to_string(whole.count()));
+    }
+    return reply;
+}
+
+http_reply renderInputError(const input_error &e, const std::string &statusText)
+{
+    std::string body = head(e.id, ran_state::No);
+    appendError(body, e.kind, e.message);
+    body += ",\"status\":" + quoted(statusText) + "}\n";
+    return jsonReply(e.httpStatus, std::move(body), ran_state::No);
+}
+
+http_reply renderText(int httpStatus, std::string text)
+{
+    return {httpStatus, {{"Content-Type", "text/plain; charset=utf-8"}}, std::move(text)};
+}
+
+} // namespace peridotwheel
--- /dev/null
+++ b/lib/status/request_registry.cpp
@@ -0,0 +1,65 @@
+#include "peridotwheel/status/request_registry.h"
+
+namespace peridotwheel {
+
+namespace {
+
+query_answer withoutResults(const query_answer &answer)
+{
+    query_answer out;
+    out.kind = answer.kind;
+    out.ran = answer.ran;
+    out.version = answer.version;
+    out.covered = answer.covered;
+    out.retryAfter = answer.retryAfter;
+    out.detail = answer.detail;
+    return out;
+}
+
+} // namespace
+
+request_registry::token request_registry::begin(const query_request &request, time_point now)
+{
+    evict(now);
+    auto [it, isNew] = m_entries.try_emplace(request.id);
+    slot &s = it->second;
+    if (!isNew && s.entry.answer)
+        m_finished.erase(s.order);
+    s.entry = {request.id, request.spec, request.repeatable, request.arrival, {}, {}};
+    s.current = m_next++;
+    return s.current;
+}
+
+void request_registry::finish(const request_id &id, token t, const query_answer &answer,
+                              time_point now)
+{
+    auto it = m_entries.find(id);
+    if (it == m_entries.end() || it->second.current != t || it->second.entry.answer)
+        return;
+    slot &s = it->second;
+    s.entry.answer = withoutResults(answer);
+    s.entry.finished = now;
+    s.order = m_finished.insert(m_finished.end(), id);
+    evict(now);
+}
+
+const request_entry *request_registry::find(const request_id &id, time_point now)
+{
+    evict(now);
+    const auto it = m_entries.find(id);
+    return it == m_entries.end() ? nullptr : &it->second.entry;
+}
+
+void request_registry::evict(time_point now)
+{
+    while (!m_finished.empty()) {
+        const auto it = m_entries.find(m_finished.front());
+        const bool tooOld = now - it->second.entry.finished > m_limits.maxAge;
+        if (!tooOld && m_finished.size() <= m_limits.maxFinished)
+            return;
+        m_entries.erase(it);
+        m_finished.pop_front();
+    }
+}
+
+} // namespace peridotwheel
