Add the data path: routing, limits and the scatter engine

First version: plans per index version, least expected wait, connection shares, hedges and retries within budgets, checks at the merge point, true coverage.

--- /dev/null
+++ b/include/peridotwheel/limits/connection_share.h
@@ -0,0 +1,45 @@
+#ifndef PERIDOTWHEEL_LIMITS_CONNECTION_SHARE_H
+#define PERIDOTWHEEL_LIMITS_CONNECTION_SHARE_H
+
+#include "peridotwheel/membership/member.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+
+namespace peridotwheel {
+
+/// Divides the connection limit of a server among the live instances.
+///
+/// The views of two instances may differ for a while. The sum of all shares stays within the limit
+/// because a share shrinks as soon as a peer is seen and grows only after a peer has been absent
+/// for longer than views can differ.
+class connection_share
+{
+public:
+    /// Views differ by at most a few probe periods and the lag of the platform's list.
+    static constexpr duration defaultHold = seconds(10);
+
+    connection_share(instance_id self, time_point now, duration hold = defaultHold);
+
+    /// Takes over the present view. Returns true if shares may have changed.
+    bool observe(const member_map &members, time_point now);
+    /// Connections that this instance may hold to \p server. At least one if the limit suffices for
+    /// all instances; otherwise the highest rendezvous weights get one each.
+    std::uint32_t operator()(const server_id &server, std::uint32_t connectionLimit) const;
+    std::size_t instances() const { return m_counted.size(); }
+
+private:
+    instance_id m_self;
+    duration m_hold;
+    time_point m_startedAt;
+    /// False until another instance was seen or the hold time has passed since the start: a new
+    /// instance with an empty view would otherwise take every connection.
+    bool m_confirmed = false;
+    std::set<instance_id> m_counted;
+    std::map<instance_id, time_point> m_absentSince;
+};
+
+} // namespace peridotwheel
+
+#endif
--- /dev/null
+++ b/include/peridotwheel/limits/retry_budget.h
@@ -0,0 +1,41 @@
+#ifndef PERIDOTWHEEL_LIMITS_RETRY_BUDGET_H
+#define PERIDOTWHEEL_LIMITS_RETRY_BUDGET_H
+
+#include "peridotwheel/support/units.h"
+
+#include <cstdint>
+
+namespace peridotwheel {
+
+/// Bounds extra attempts to a fraction of the recent first attempts plus a burst. Both counts fade
+/// with a half-life of 5 s.
+class retry_budget
+{
+public:
+    /// \p fraction of the recent first attempts, plus \p burst.
+    retry_budget(double fraction, double burst, time_point now);
+
+    void onFirstAttempts(std::uint32_t count, time_point now);
+    /// Takes one token if there is one.
+    bool take(time_point now);
+    /// Ratio of the present latency over all services to that of good times; 1 is normal. Extra
+    /// attempts only add to the load when everything is slow, so the budget shrinks above
+    /// `toleratedSlowdown`.
+    void setSlowdown(double ratio) { m_slowdown = ratio; }
+
+    static constexpr double toleratedSlowdown = 2.0;
+
+private:
+    void fade(time_point now);
+
+    double m_fraction;
+    double m_burst;
+    double m_first = 0;
+    double m_taken = 0;
+    double m_slowdown = 1;
+    time_point m_fadedAt;
+};
+
+} // namespace peridotwheel
+
+#endif
--- /dev/null
+++ b/include/peridotwheel/limits/server_pool.h
@@ -0,0 +1,117 @@
+#ifndef PERIDOTWHEEL_LIMITS_SERVER_POOL_H
+#define PERIDOTWHEEL_LIMITS_SERVER_POOL_H
+
+#include "peridotwheel/http/http_connection.h"
+#include "peridotwheel/support/event_loop.h"
+#include "peridotwheel/support/ids.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <tuple>
+#include <vector>
+
+namespace peridotwheel {
+
+/// One request to one server. It either runs on a connection or comes back unsent.
+class pool_attempt
+{
+public:
+    pool_attempt() = default;
+    pool_attempt(const pool_attempt &) = delete;
+    pool_attempt &operator=(const pool_attempt &) = delete;
+    virtual ~pool_attempt() = default;
+
+    virtual class_rank rank() const = 0;
+    /// Not sent any more after this time.
+    virtual time_point deadline() const = 0;
+    /// Called right before sending, so that headers can state the remaining time.
+    virtual http_request buildRequest(time_point now) = 0;
+    virtual duration timeout(time_point now) const = 0;
+    /// Called once per request sent.
+    virtual void onSent(time_point now) = 0;
+    virtual void onOutcome(http_outcome outcome) = 0;
+    /// The attempt was not sent and will not be.
+    virtual void onReturned() = 0;
+};
+
+/// The connections of this instance to one server.
+///
+/// Attempts run only on connections that have answered `GET /health`: a server that refuses a
+/// connection by its limit may do so after accepting it, and an attempt on such a connection could
+/// not be told from one that ran.
+class server_pool
+{
+public:
+    server_pool(event_loop &loop, http_connector &connector, endpoint to);
+    server_pool(const server_pool &) = delete;
+    server_pool &operator=(const server_pool &) = delete;
+    ~server_pool();
+
+    /// Connections allowed. Excess connections close once they are idle.
+    void setShare(std::uint32_t share);
+    /// Attempts in flight allowed.
+    void setLimit(std::uint32_t limit) { m_limit = limit; }
+    /// Stops opening connections and closes those that are idle.
+    void close();
+
+    /// Sends at once if a connection is free; otherwise waits by rank, then deadline.
+    void submit(std::shared_ptr<pool_attempt> attempt);
+    /// Removes a waiting attempt; false if it is not waiting. Nothing is called back.
+    bool withdraw(const pool_attempt &attempt);
+    /// Closes the connection that carries \p attempt; false if there is none. Nothing is called
+    /// back.
+    bool abort(const pool_attempt &attempt);
+    /// Returns all waiting attempts unsent.
+    void returnWaiting();
+    std::vector<std::shared_ptr<pool_attempt>> inFlightAttempts() const;
+    /// Sends \p request on an idle connection and ignores the reply; false if none is idle.
+    bool sendAside(const http_request &request, duration timeout);
+    /// Opens missing connections, refreshes idle ones, returns expired attempts.
+    void maintain();
+    /// Sends waiting attempts as far as limits allow.
+    void dispatch();
+
+    std::size_t waiting() const { return m_waiting.size(); }
+    std::size_t established() const;
+    bool hasIdle() const { return idleSlot() != nullptr; }
+    /// Connections that may be open at present: the share, less after a refusal.
+    std::uint32_t allowed() const;
+    /// The server could not be reached lately and no connection is open.
+    bool down() const { return m_down && established() == 0; }
+
+private:
+    struct slot;
+    using wait_key = std::tuple<class_rank, time_point, std::uint64_t>;
+
+    slot *idleSlot() const;
+    void openMissing();
+    void checkHealth(slot &s);
+    void onHealth(slot &s, time_point started, const http_outcome &outcome);
+    void onRefused(bool unreachable);
+    void send(slot &s, std::shared_ptr<pool_attempt> attempt);
+    void onOutcome(slot &s, http_outcome outcome);
+    void remove(const slot &s);
+    void trim();
+    void returnExpired();
+
+    event_loop &m_loop;
+    http_connector &m_connector;
+    endpoint m_to;
+    std::vector<std::unique_ptr<slot>> m_slots;
+    std::map<wait_key, std::shared_ptr<pool_attempt>> m_waiting;
+    std::uint64_t m_sequence = 0;
+    std::uint32_t m_share = 0;
+    std::uint32_t m_limit = 1;
+    std::uint32_t m_inFlight = 0;
+    std::uint32_t m_refusedCap = 0;
+    time_point m_refusedUntil{};
+    time_point m_openAfter{};
+    duration m_openDelay{};
+    bool m_down = false;
+    bool m_closed = false;
+};
+
+} // namespace peridotwheel
+
+#endif
--- /dev/null
+++ b/include/peridotwheel/query/merge.h
@@ -0,0 +1,81 @@
+#ifndef PERIDOTWHEEL_QUERY_MERGE_H
+#define PERIDOTWHEEL_QUERY_MERGE_H
+
+#include "peridotwheel/query/query.h"
+
+#include <cstddef>
+#include <string_view>
+#include <vector>
+
+namespace peridotwheel {
+
+/// The coverage of \p answered among \p asked; both ascending without duplicates.
+coverage coverageOf(const std::vector<shard_id> &asked, const std::vector<shard_id> &answered);
+
+/// A backend reply as it arrives at the merge point.
+struct shard_reply
+{
+    attempt_id attempt;
+    /// Absent if the server stated none, as plain services do.
+    std::optional<index_version> version;
+    /// The value of `X-Shards`; empty for plain services.
+    std::string_view shards;
+    std::string_view body;
+};
+
+enum class merge_verdict {
+    Accepted,       ///< At least one new shard was taken.
+    Duplicate,      ///< All its shards were answered before.
+    ForeignAttempt, ///< Belongs to no open attempt of this query.
+    WrongVersion,   ///< From another snapshot than the pinned one.
+    WrongShards,    ///< Names a shard that the attempt did not ask for.
+    Malformed,      ///< The body is not one JSON element per shard.
+};
+
+const char *toString(merge_verdict verdict);
+
+/// Gathers the replies of one query for one pinned index version. Nothing enters the answer that is
+/// not of this version and asked for by an open attempt.
+class merge
+{
+public:
+    /// \p asked must be ascending without duplicates. \p version is absent if only plain services
+    /// are asked.
+    merge(std::optional<index_version> version, std::vector<shard_id> asked);
+
+    /// Opens \p attempt for \p shards, each of which was asked for.
+    void expect(attempt_id attempt, std::vector<shard_id> shards);
+    /// Opens \p attempt to a plain service, which states neither version nor shards: its whole
+    /// reply is the one element \p element.
+    void expectPlain(attempt_id attempt, shard_id element);
+    /// Checks and takes a reply; closes the attempt.
+    merge_verdict offer(const shard_reply &reply);
+    bool has(shard_id shard) const;
+    bool complete() const { return m_answered == m_asked.size(); }
+    std::size_t answered() const { return m_answered; }
+    /// Takes the results out, ascending by shard.
+    std::vector<shard_result> takeResults();
+    coverage covered() const;
+
+private:
+    struct open_attempt
+    {
+        attempt_id id;
+        std::vector<shard_id> shards;
+        bool plain = false;
+    };
+
+    std::size_t indexOf(shard_id shard) const;
+    merge_verdict takePlain(shard_id element, std::string_view body);
+    merge_verdict take(const std::vector<shard_id> &shards, std::string_view body);
+
+    std::optional<index_version> m_version;
+    std::vector<shard_id> m_asked;
+    std::vector<std::string> m_results; // by index in m_asked; empty if missing
+    std::vector<open_attempt> m_open;
+    std::size_t m_answered = 0;
+};
+
+} // namespace peridotwheel
+
+#endif
--- /dev/null
+++ b/lib/limits/concurrency_limiter.cpp
@@ -0,0 +1,63 @@
+#include "peridotwheel/limits/concurrency_limiter.h"
+
+#include <algorithm>
+
+namespace peridotwheel {
+
+namespace {
+
+constexpr double shedFactor = 0.7;
+constexpr double queueingFactor = 0.9;
+constexpr double averageWeight = 0.1;
+/// One overload is seen by all attempts that were in flight, so it may shrink the limit only once.
+constexpr duration shrinkInterval = milliseconds(50);
+
+} // namespace
+
+concurrency_limiter::concurrency_limiter(std::uint32_t start)
+    : m_limit(start)
+    , m_maximum(start)
+{
+}
+
+void concurrency_limiter::setMaximum(std::uint32_t maximum)
+{
+    // A limit that was not restrained before follows the maximum up.
+    const bool unrestrained = m_limit >= m_maximum && m_maximum > 1;
+    m_maximum = maximum;
+    m_limit = unrestrained ? m_maximum : std::clamp(m_limit, 1.0, std::max(1.0, m_maximum));
+}
+
+void concurrency_limiter::shrink(double factor, time_point now)
+{
+    if (now < m_nextShrink)
+        return;
+    m_nextShrink = now + shrinkInterval;
+    m_limit = std::max(1.0, m_limit * factor);
+}
+
+void concurrency_limiter::onShed(time_point now)
+{
+    shrink(shedFactor, now);
+}
+
+void concurrency_limiter::onReply(duration latency, duration tolerated, std::uint32_t inFlight,
+                                  time_point now)
+{
+    const auto sample = static_cast<double>(latency.count());
+    m_average = m_average == 0 ? sample : m_average + averageWeight * (sample - m_average);
+    if (m_average > static_cast<double>(tolerated.count())) {
+        shrink(queueingFactor, now);
+        return;
+    }
+    const bool used = inFlight + 1 >= limit();
+    if (used)
+        m_limit = std::min(m_maximum, m_limit + 1 / std::max(1.0, m_limit));
+}
+
+std::uint32_t concurrency_limiter::limit() const
+{
+    return static_cast<std::uint32_t>(std::min(m_limit, m_maximum));
+}
+
+} // namespace peridotwheel
--- /dev/null
+++ b/lib/query/attempt.h
@@ -0,0 +1,76 @@
+#ifndef PERIDOTWHEEL_LIB_QUERY_ATTEMPT_H
+#define PERIDOTWHEEL_LIB_QUERY_ATTEMPT_H
+
+#include "backend_server.h"
+#include "peridotwheel/query/query.h"
+
+#include <string_view>
+#include <vector>
+
+namespace peridotwheel {
+
+class running_query;
+struct engine_state;
+
+enum class attempt_kind { First, Hedge, Retry, Probe };
+
+/// The headers of a backend reply that the engine looks at.
+struct reply_headers
+{
+    std::optional<index_version> version;
+    std::optional<start_id> start;
+    std::string_view shards;
+    bool draining = false;
+    bool notRun = false;
+};
+
+reply_headers parseHeaders(const http_headers &headers);
+
+/// One request to one server for all its shards of a query.
+class attempt : public pool_attempt
+{
+public:
+    attempt(engine_state &state, running_query &query, std::shared_ptr<backend_server> server,
+            attempt_kind kind);
+
+    class_rank rank() const override;
+    time_point deadline() const override;
+    http_request buildRequest(time_point now) override;
+    duration timeout(time_point now) const override;
+    void onSent(time_point now) override;
+    void onOutcome(http_outcome outcome) override;
+    void onReturned() override;
+
+    /// The query is over or has given this attempt up; only the statistics still count.
+    void detach() { m_query = nullptr; }
+    running_query *query() const { return m_query; }
+    bool pending() const { return !m_over; }
+    bool sent() const { return m_sent; }
+    time_point sentAt() const { return m_sentAt; }
+    /// Withdraws the attempt if it waits; closes its connection or sends a cancellation if that
+    /// frees the server or the connection earlier than its reply would.
+    void giveUp();
+    std::string wireId() const;
+
+    const attempt_id id;
+    const std::shared_ptr<backend_server> server;
+    const attempt_kind kind;
+    std::vector<std::size_t> groups; ///< Indices of the query's groups.
+    std::vector<shard_id> shards;
+    bool plain = false;
+
+private:
+    void account(const http_outcome &outcome, const reply_headers &headers, time_point now);
+    void accountReply(int status, const reply_headers &headers, time_point now);
+    void accountSuccess(time_point now);
+
+    engine_state &m_state;
+    running_query *m_query;
+    time_point m_sentAt{};
+    bool m_sent = false;
+    bool m_over = false;
+};
+
+} // namespace peridotwheel
+
+#endif
--- /dev/null
+++ b/lib/query/engine_state.h
@@ -0,0 +1,109 @@
+#ifndef PERIDOTWHEEL_LIB_QUERY_ENGINE_STATE_H
+#define PERIDOTWHEEL_LIB_QUERY_ENGINE_STATE_H
+
+#include "backend_server.h"
+#include "peridotwheel/counters/counter_set.h"
+#include "peridotwheel/limits/retry_budget.h"
+#include "peridotwheel/query/query_engine.h"
+#include "peridotwheel/state/blackboard.h"
+#include "peridotwheel/support/random_source.h"
+#include "scatter_plan.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_set>
+
+namespace peridotwheel {
+
+class running_query;
+
+/// Counters of the engine, looked up once.
+struct engine_counters
+{
+    explicit engine_counters(counter_set &set);
+
+    counter &first;
+    counter &hedges;
+    counter &retries;
+    counter &probes;
+    counter &cancels;
+    counter &dropped;
+    counter &denied;
+    counter &shed;
+    counter &failures;
+    counter &suspicions;
+    counter &restarts;
+    counter &partial;
+};
+
+/// What all queries of one engine share.
+struct engine_state
+{
+    engine_state(event_loop &l, blackboard &b, http_connector &c, counter_set &counters,
+                 event_sink sink, std::uint64_t seed, instance_id id, data_centre_id dc,
+                 query_engine_options o);
+    engine_state(const engine_state &) = delete;
+    engine_state &operator=(const engine_state &) = delete;
+    ~engine_state();
+
+    /// The plan of \p map for the present servers.
+    scatter_plan_ptr planOf(const shard_map_ptr &map);
+    scatter_plan_ptr plainPlanOf(const service_name &name);
+    void noteLeaving(const server_id &server, start_id start, bool fromReply);
+    /// Forgives the silence of all servers if this process did not run for a while.
+    void noticeTime(time_point now);
+    void report(event_kind kind, const query_request *request, std::string text) const;
+
+    void updateServers();
+    void updateShares();
+    void tick();
+
+    event_loop &loop;
+    blackboard &board;
+    http_connector &connector;
+    engine_counters count;
+    event_sink events;
+    random_source random;
+    instance_id self;
+    data_centre_id dataCentre;
+    query_engine_options options;
+    server_selector selector;
+    connection_share share;
+    retry_budget hedges;
+    retry_budget retries;
+    latency_distribution queryLatency;
+    server_table servers;
+    std::map<service_name, std::unique_ptr<service_stats>> services;
+    std::unordered_set<std::shared_ptr<running_query>> active;
+    std::function<void(server_id, start_id)> onServerLeaving;
+    /// Makes attempt ids unique among instances and restarts.
+    std::string attemptPrefix;
+    std::uint64_t nextAttempt = 1;
+    std::uint64_t nextScatter = 1;
+    std::uint32_t concurrency = 1;
+    /// End of the last time span in which this process did not run.
+    time_point stalledUntil{};
+
+private:
+    std::shared_ptr<backend_server> makeServer(const server_record &record);
+    void checkServer(backend_server &server, time_point now);
+    void maintain(time_point now);
+    void updateConcurrency();
+    void scheduleTick();
+
+    std::uint64_t m_epoch = 1;
+    std::map<index_version, scatter_plan_ptr> m_plans;
+    std::map<service_name, scatter_plan_ptr> m_plainPlans;
+    std::set<std::pair<server_id, start_id>> m_leaving;
+    time_point m_lastTick;
+    time_point m_nextMaintenance{};
+    timer m_timer;
+    subscription m_onServers;
+    subscription m_onMembers;
+};
+
+} // namespace peridotwheel
+
+#endif
--- /dev/null
+++ b/lib/query/merge.cpp
@@ -0,0 +1,175 @@
+#include "peridotwheel/query/merge.h"
+
+#include "json_elements.h"
+
+#include <algorithm>
+#include <cassert>
+#include <charconv>
+
+namespace peridotwheel {
+
+namespace {
+
+/// Shard ids of an `X-Shards` header, or nothing if it is malformed.
+std::optional<std::vector<shard_id>> shardsFromHeader(std::string_view text)
+{
+    std::vector<shard_id> shards;
+    const char *at = text.data();
+    const char *const end = at + text.size();
+    while (at != end) {
+        std::uint32_t value = 0;
+        const auto [next, code] = std::from_chars(at, end, value);
+        if (code != std::errc())
+            return std::nullopt;
+        shards.emplace_back(value);
+        at = next;
+        if (at == end)
+            break;
+        if (*at++ != ',' || at == end)
+            return std::nullopt;
+    }
+    return shards;
+}
+
+bool contains(const std::vector<shard_id> &shards, shard_id shard)
+{
+    return std::find(shards.begin(), shards.end(), shard) != shards.end();
+}
+
+} // namespace
+
+coverage coverageOf(const std::vector<shard_id> &asked, const std::vector<shard_id> &answered)
+{
+    coverage c;
+    c.total = static_cast<std::uint32_t>(asked.size());
+    std::set_difference(asked.begin(), asked.end(), answered.begin(), answered.end(),
+                        std::back_inserter(c.missing));
+    c.answered = c.total - static_cast<std::uint32_t>(c.missing.size());
+    return c;
+}
+
+const char *toString(merge_verdict verdict)
+{
+    switch (verdict) {
+    case merge_verdict::Accepted:
+        return "accepted";
+    case merge_verdict::Duplicate:
+        return "duplicate";
+    case merge_verdict::ForeignAttempt:
+        return "foreign-attempt";
+    case merge_verdict::WrongVersion:
+        return "wrong-version";
+    case merge_verdict::WrongShards:
+        return "wrong-shards";
+    case merge_verdict::Malformed:
+        return "malformed";
+    }
+    return "unknown";
+}
+
+merge::merge(std::optional<index_version> version, std::vector<shard_id> asked)
+    : m_version(version)
+    , m_asked(std::move(asked))
+    , m_results(m_asked.size())
+{
+}
+
+void merge::expect(attempt_id attempt, std::vector<shard_id> shards)
+{
+    m_open.push_back({attempt, std::move(shards)});
+}
+
+void merge::expectPlain(attempt_id attempt, shard_id element)
+{
+    m_open.push_back({attempt, {element}, true});
+}
+
+std::size_t merge::indexOf(shard_id shard) const
+{
+    const auto it = std::lower_bound(m_asked.begin(), m_asked.end(), shard);
+    assert(it != m_asked.end() && *it == shard && "attempts ask only for shards of the query");
+    return static_cast<std::size_t>(it - m_asked.begin());
+}
+
+bool merge::has(shard_id shard) const
+{
+    return !m_results[indexOf(shard)].empty();
+}
+
+merge_verdict merge::offer(const shard_reply &reply)
+{
+    const auto open = std::find_if(m_open.begin(), m_open.end(),
+                                   [&](const open_attempt &a) { return a.id == reply.attempt; });
+    if (open == m_open.end())
+        return merge_verdict::ForeignAttempt;
+    const open_attempt closed = std::move(*open);
+    m_open.erase(open);
+    if (closed.plain)
+        return takePlain(closed.shards.front(), reply.body);
+    const auto &expected = closed.shards;
+    if (!m_version || reply.version != m_version)
+        return merge_verdict::WrongVersion;
+    const auto shards = shardsFromHeader(reply.shards);
+    if (!shards || shards->empty())
+        return merge_verdict::WrongShards;
+    for (std::size_t i = 0; i < shards->size(); ++i) {
+        const shard_id shard = (*shards)[i];
+        const auto repeated = std::find(shards->begin() + static_cast<std::ptrdiff_t>(i) + 1,
+                                        shards->end(), shard) != shards->end();
+        if (repeated || !contains(expected, shard))
+            return merge_verdict::WrongShards;
+    }
+    return take(*shards, reply.body);
+}
+
+merge_verdict merge::takePlain(shard_id element, std::string_view body)
+{
+    if (has(element))
+        return merge_verdict::Duplicate;
+    if (!isJsonValue(body))
+        return merge_verdict::Malformed;
+    m_results[indexOf(element)] = std::string(body);
+    ++m_answered;
+    return merge_verdict::Accepted;
+}
+
+merge_verdict merge::take(const std::vector<shard_id> &shards, std::string_view body)
+{
+    const auto isNew = [this](shard_id s) { return !has(s); };
+    if (std::none_of(shards.begin(), shards.end(), isNew))
+        return merge_verdict::Duplicate;
+    auto elements = jsonElements(body, shards.size());
+    if (!elements)
+        return merge_verdict::Malformed;
+    for (std::size_t i = 0; i < shards.size(); ++i) {
+        if (has(shards[i]))
+            continue;
+        m_results[indexOf(shards[i])] = std::move((*elements)[i]);
+        ++m_answered;
+    }
+    return merge_verdict::Accepted;
+}
+
+std::vector<shard_result> merge::takeResults()
+{
+    std::vector<shard_result> results;
+    results.reserve(m_answered);
+    for (std::size_t i = 0; i < m_asked.size(); ++i) {
+        if (!m_results[i].empty())
+            results.push_back({m_asked[i], std::move(m_results[i])});
+    }
+    return results;
+}
+
+coverage merge::covered() const
+{
+    std::vector<shard_id> answered;
+    answered.reserve(m_answered);
+    for (std::size_t i = 0; i < m_asked.size(); ++i) {
+        if (!m_results[i].empty())
+            answered.push_back(m_asked[i]);
+    }
+    return coverageOf(m_asked, answered);
+}
+
+} // namespace peridotwheel
--- /dev/null
+++ b/lib/query/running_query.cpp
@@ -0,0 +1,240 @@
+#include "running_query.h"
+
+#include "engine_state.h"
+#include "peridotwheel/query/hedging_policy.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace peridotwheel {
+
+namespace {
+
+/// Answers to queries with little time left keep most of it.
+constexpr int marginShare = 10;
+
+} // namespace
+
+running_query::running_query(engine_state &state, query_request request, answer_hook done)
+    : m_state(state)
+    , m_request(std::move(request))
+    , m_done(std::move(done))
+    , m_startedAt(state.loop.now())
+{
+    const duration left = std::max(m_request.deadline - m_startedAt, duration::zero());
+    m_finishAt = m_request.deadline - std::min(state.options.answerMargin, left / marginShare);
+}
+
+void running_query::start()
+{
+    m_inRun = true;
+    const bool inTime = m_startedAt < m_finishAt;
+    if (!inTime)
+        refuse(answer_kind::Expired, "the deadline had passed before the query started; not run");
+    if (inTime && pin()) {
+        group_list all(m_groups.size());
+        for (std::size_t i = 0; i < all.size(); ++i)
+            all[i] = i;
+        dispatch(all, attempt_kind::First);
+        probeSuspects();
+        checkEnd();
+    }
+    m_inRun = false;
+}
+
+bool running_query::pin()
+{
+    const shard_map_ptr map = m_state.board.snapshots.value().current;
+    const scatter_plan_ptr sharded = map ? m_state.planOf(map) : nullptr;
+    if (sharded) {
+        m_version = map->version;
+        m_plans.push_back(sharded);
+    }
+    if (!m_request.services.empty())
+        return addServices(sharded.get());
+    if (!sharded) {
+        refuse(answer_kind::RefusedState,
+               "no index version is known yet; not run, try again in a moment");
+        return false;
+    }
+    m_groups.reserve(sharded->groups.size());
+    for (const auto &group : sharded->groups)
+        addGroup(group, group.shards);
+    m_merge.emplace(m_version, sharded->shards);
+    return true;
+}
+
+bool running_query::addServices(const scatter_plan *sharded)
+{
+    std::vector<shard_id> asked;
+    std::uint32_t nextPlain = firstPlainShard;
+    std::vector<service_name> names = m_request.services;
+    std::sort(names.begin(), names.end());
+    if (std::adjacent_find(names.begin(), names.end()) != names.end()) {
+        refuse(answer_kind::RefusedInput, "a service is named twice; not run, name each one once");
+        return false;
+    }
+    for (const auto &name : m_request.services) {
+        const std::size_t before = m_groups.size();
+        for (std::size_t i = 0; sharded != nullptr && i < sharded->groups.size(); ++i) {
+            const shard_group &group = sharded->groups[i];
+            if (group.service != name)
+                continue;
+            asked.insert(asked.end(), group.shards.begin(), group.shards.end());
+            addGroup(group, group.shards);
+        }
+        if (m_groups.size() > before)
+            continue;
+        const auto plain = m_state.plainPlanOf(name);
+        if (plain->groups.front().replicas.empty()) {
+            refuse(answer_kind::RefusedInput,
+                   "service " + name.value() + " is unknown; not run, check the name");
+            return false;
+        }
+        m_plans.push_back(plain);
+        asked.emplace_back(nextPlain);
+        addGroup(plain->groups.front(), {shard_id(nextPlain++)});
+    }
+    std::sort(asked.begin(), asked.end());
+    const bool onlyPlain = nextPlain - firstPlainShard == m_groups.size();
+    if (onlyPlain)
+        m_version.reset();
+    m_merge.emplace(m_version, std::move(asked));
+    return true;
+}
+
+void running_query::addGroup(const shard_group &group, std::vector<shard_id> shards)
+{
+    group_state g;
+    g.group = &group;
+    g.shards = std::move(shards);
+    m_groups.push_back(std::move(g));
+}
+
+void running_query::onOutcome(attempt &a, const reply_headers &headers, const http_outcome &outcome)
+{
+    const auto self = shared_from_this();
+    settle(a);
+    m_anySent = m_anySent || outcome.failure != transport_failure::NotSent;
+    if (outcome.failure == transport_failure::NotSent) {
+        onFailure(a, failure_cause::NotSent);
+    } else if (outcome.failure == transport_failure::MayHaveRun) {
+        onFailure(a, failure_cause::MayHaveRun);
+    } else {
+        onReply(a, headers, outcome);
+    }
+    if (!m_over)
+        checkEnd();
+}
+
+void running_query::onReply(attempt &a, const reply_headers &headers, const http_outcome &outcome)
+{
+    const int status = outcome.reply.status;
+    if (status == 410) {
+        onFailure(a, failure_cause::VersionLost);
+        return;
+    }
+    if (status != 200) {
+        const bool notRun = headers.notRun && (status == 503 || status == 504);
+        onFailure(a, notRun ? failure_cause::NotRun : failure_cause::MayHaveRun);
+        return;
+    }
+    m_ranSomewhere = true;
+    const auto verdict =
+            m_merge->offer({a.id, headers.version, headers.shards, outcome.reply.body});
+    if (verdict != merge_verdict::Accepted)
+        m_state.count.dropped.add();
+    if (verdict == merge_verdict::WrongVersion) {
+        onFailure(a, m_request.repeatable ? failure_cause::VersionLost : failure_cause::MayHaveRun);
+        return;
+    }
+    for (const std::size_t i : a.groups) {
+        group_state &g = m_groups[i];
+        const auto answered = [this](shard_id s) { return m_merge->has(s); };
+        g.done = g.done || std::all_of(g.shards.begin(), g.shards.end(), answered);
+        if (!g.done && !failGroup(i, failure_cause::MayHaveRun))
+            return;
+    }
+    withdrawNeedless();
+}
+
+void running_query::onReturned(attempt &a)
+{
+    const auto self = shared_from_this();
+    settle(a);
+    onFailure(a, failure_cause::NotSent);
+    if (!m_over)
+        checkEnd();
+}
+
+void running_query::settle(const attempt &a)
+{
+    for (const std::size_t i : a.groups) {
+        assert(m_groups[i].outstanding > 0 && "each attempt settles once");
+        --m_groups[i].outstanding;
+        m_groups[i].sentBefore |= a.sent();
+    }
+}
+
+void running_query::checkEnd()
+{
+    if (m_over)
+        return;
+    if (m_merge->complete()) {
+        finish(false);
+        return;
+    }
+    const bool open = std::any_of(m_groups.begin(), m_groups.end(), [](const group_state &g) {
+        return !g.done && (g.outstanding > 0 || g.retryAt);
+    });
+    if (!open) {
+        finish(false);
+        return;
+    }
+    armTimer();
+}
+
+void running_query::armTimer()
+{
+    time_point next = m_finishAt;
+    for (const group_state &g : m_groups) {
+        if (g.done)
+            continue;
+        if (g.hedgeAt)
+            next = std::min(next, *g.hedgeAt);
+        if (g.retryAt)
+            next = std::min(next, *g.retryAt);
+    }
+    // A timer that fires early only looks again, so it is moved forward but not back.
+    if (m_armedFor && *m_armedFor <= next)
+        return;
+    m_armedFor = next;
+    m_timer = m_state.loop.schedule(next - m_state.loop.now(), [this] { onTimer(); });
+}
+
+void running_query::onTimer()
+{
+    const auto self = shared_from_this();
+    m_armedFor.reset();
+    const time_point now = m_state.loop.now();
+    m_state.noticeTime(now);
+    if (now >= m_finishAt) {
+        finish(true);
+        return;
+    }
+    sendDueHedges(now);
+    group_list due;
+    for (std::size_t i = 0; i < m_groups.size(); ++i) {
+        group_state &g = m_groups[i];
+        if (g.done || !g.retryAt || now < *g.retryAt)
+            continue;
+        g.retryAt.reset();
+        due.push_back(i);
+    }
+    for (const std::size_t i : due)
+        retry(i);
+    if (!m_over)
+        checkEnd();
+}
+
+} // namespace peridotwheel
--- /dev/null
+++ b/lib/query/running_query.h
@@ -0,0 +1,120 @@
+#ifndef PERIDOTWHEEL_LIB_QUERY_RUNNING_QUERY_H
+#define PERIDOTWHEEL_LIB_QUERY_RUNNING_QUERY_H
+
+#include "attempt.h"
+#include "peridotwheel/query/merge.h"
+#include "peridotwheel/support/event_loop.h"
+#include "scatter_plan.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace peridotwheel {
+
+struct engine_state;
+
+/// One query from its scatter to its answer.
+class running_query : public std::enable_shared_from_this<running_query>
+{
+public:
+    running_query(engine_state &state, query_request request, answer_hook done);
+
+    void start();
+    /// Ends without an answer; for the destruction of the engine.
+    void drop();
+
+    void onOutcome(attempt &a, const reply_headers &headers, const http_outcome &outcome);
+    void onReturned(attempt &a);
+    /// The server of \p a is suspect and the attempt is not expected to return.
+    void onStuck(const attempt &a);
+
+    const query_request &request() const { return m_request; }
+    index_version version() const { return m_version.value_or(index_version()); }
+    time_point finishAt() const { return m_finishAt; }
+
+private:
+    /// The progress of one group of shards.
+    struct group_state
+    {
+        const shard_group *group = nullptr;
+        std::vector<shard_id> shards;
+        std::vector<const backend_server *> tried;
+        unsigned tries = 0;
+        unsigned outstanding = 0;
+        bool done = false;
+        /// May have run and must not be sent again.
+        bool unknown = false;
+        /// An attempt was sent, so that a further one is an extra request.
+        bool sentBefore = false;
+        unsigned parked = 0;
+        std::optional<time_point> hedgeAt;
+        std::optional<time_point> retryAt;
+    };
+    using group_list = std::vector<std::size_t>;
+    enum class failure_cause { NotSent, NotRun, VersionLost, MayHaveRun };
+
+    bool pin();
+    bool addServices(const scatter_plan *sharded);
+    void addGroup(const shard_group &group, std::vector<shard_id> shards);
+    void dispatch(const group_list &groups, attempt_kind kind);
+    std::shared_ptr<backend_server> chooseServer(const group_state &g, std::uint64_t scatter,
+                                                 attempt_kind kind);
+    attempt &attemptFor(const std::shared_ptr<backend_server> &server, std::uint64_t scatter,
+                        std::vector<std::shared_ptr<attempt>> &started, attempt_kind kind,
+                        bool plain);
+    void submit(const std::vector<std::shared_ptr<attempt>> &started);
+    void probeSuspects();
+    void planHedge(group_state &g, const backend_server &server);
+    void sendDueHedges(time_point now);
+    attempt *pendingAttempt(std::size_t group) const;
+    bool hasAlternative(const group_state &g) const;
+    bool takeHedgeToken(const attempt &first, time_point now);
+    void moveElsewhere(attempt &waiting);
+
+    void settle(const attempt &a);
+    void onReply(attempt &a, const reply_headers &headers, const http_outcome &outcome);
+    void onFailure(const attempt &a, failure_cause cause);
+    /// Decides what follows a failed attempt; false if the query was restarted.
+    bool failGroup(std::size_t index, failure_cause cause);
+    void retry(std::size_t index);
+    void park(group_state &g);
+    void withdrawNeedless();
+    bool newerVersionKnown() const;
+    void restart();
+
+    void onTimer();
+    void armTimer();
+    void checkEnd();
+    void finish(bool atDeadline);
+    query_answer makeAnswer(bool atDeadline);
+    bool sentSomewhere() const;
+    void judgeRepeatable(query_answer &answer, bool atDeadline) const;
+    void judgeNonRepeatable(query_answer &answer, bool atDeadline) const;
+    void refuse(answer_kind kind, std::string detail);
+    void deliver(query_answer answer);
+    void releaseAttempts();
+
+    engine_state &m_state;
+    query_request m_request;
+    answer_hook m_done;
+    time_point m_startedAt;
+    time_point m_finishAt;
+    std::optional<index_version> m_version;
+    std::vector<scatter_plan_ptr> m_plans;
+    std::vector<group_state> m_groups;
+    std::vector<std::shared_ptr<attempt>> m_attempts;
+    std::optional<merge> m_merge;
+    timer m_timer;
+    std::optional<time_point> m_armedFor;
+    bool m_inRun = false;
+    bool m_over = false;
+    bool m_restarted = false;
+    bool m_anySent = false;
+    bool m_ranSomewhere = false;
+};
+
+} // namespace peridotwheel
+
+#endif
--- /dev/null
+++ b/lib/query/running_query_retry.cpp
@@ -0,0 +1,121 @@
+#include "engine_state.h"
+#include "running_query.h"
+
+#include <algorithm>
+
+namespace peridotwheel {
+
+namespace {
+
+/// Attempts per group of shards, hedges included. Budgets usually bind earlier.
+constexpr unsigned maxTries = 12;
+/// When no replica is left to try, the group pauses for this long, doubled each time and with
+/// jitter, and may then use all replicas again.
+constexpr duration firstPause = milliseconds(10);
+constexpr unsigned maxPauses = 6;
+
+} // namespace
+
+void running_query::onFailure(const attempt &a, failure_cause cause)
+{
+    const auto groups = a.groups;
+    for (const std::size_t i : groups) {
+        if (!failGroup(i, cause))
+            return;
+    }
+}
+
+bool running_query::failGroup(std::size_t index, failure_cause cause)
+{
+    group_state &g = m_groups[index];
+    if (g.done)
+        return true;
+    if (!m_request.repeatable && cause == failure_cause::MayHaveRun) {
+        g.unknown = true;
+        return true;
+    }
+    const bool restartable = m_request.repeatable && !m_restarted && newerVersionKnown();
+    if (cause == failure_cause::VersionLost && restartable) {
+        restart();
+        return false;
+    }
+    if (g.outstanding > 0 || g.retryAt)
+        return true;
+    if (!m_state.options.retries && g.sentBefore)
+        return true;
+    retry(index);
+    return true;
+}
+
+void running_query::retry(std::size_t index)
+{
+    group_state &g = m_groups[index];
+    if (g.tries >= maxTries || m_state.loop.now() >= m_finishAt)
+        return;
+    const auto untried = [&](const auto &server) {
+        return server->eligible() &&
+               std::find(g.tried.begin(), g.tried.end(), server.get()) == g.tried.end();
+    };
+    const auto &replicas = g.group->replicas;
+    if (std::none_of(replicas.begin(), replicas.end(), untried)) {
+        park(g);
+        return;
+    }
+    if (g.sentBefore && !m_state.retries.take(m_state.loop.now())) {
+        m_state.count.denied.add();
+        park(g);
+        return;
+    }
+    dispatch({index}, attempt_kind::Retry);
+}
+
+void running_query::park(group_state &g)
+{
+    const auto &replicas = g.group->replicas;
+    const bool noneLeft = std::all_of(replicas.begin(), replicas.end(),
+                                      [](const auto &server) { return server->leaving; });
+    if (noneLeft || g.parked >= maxPauses)
+        return;
+    g.tried.clear();
+    const duration pause = firstPause * (1U << g.parked++);
+    const double jitter = 1 + m_state.random.fraction();
+    g.retryAt = m_state.loop.now() + fromMilliseconds(toMilliseconds(pause) * jitter);
+}
+
+void running_query::withdrawNeedless()
+{
+    for (const auto &a : m_attempts) {
+        const bool needed = std::any_of(a->groups.begin(), a->groups.end(),
+                                        [this](std::size_t i) { return !m_groups[i].done; });
+        if (needed || !a->pending() || a->sent())
+            continue;
+        a->giveUp();
+        settle(*a);
+    }
+}
+
+bool running_query::newerVersionKnown() const
+{
+    const shard_map_ptr &current = m_state.board.snapshots.value().current;
+    return m_version && current && current->version > *m_version;
+}
+
+void running_query::restart()
+{
+    m_restarted = true;
+    m_anySent = true;
+    m_state.count.restarts.add();
+    m_state.report(event_kind::Snapshot, &m_request,
+                   "restart from version=" + std::to_string(m_version->value()));
+    releaseAttempts();
+    m_groups.clear();
+    m_plans.clear();
+    if (!pin())
+        return;
+    group_list all(m_groups.size());
+    for (std::size_t i = 0; i < all.size(); ++i)
+        all[i] = i;
+    dispatch(all, attempt_kind::Retry);
+}
+
+} // namespace peridotwheel
