--- a/lib/query/attempt.cpp
+++ b/lib/query/attempt.cpp
@@ -216,6 +216,9 @@
         server->pool.withdraw(*this);
         return;
     }
+    // The reply to a probe is awaited for its own sake.
+    if (kind == attempt_kind::Probe)
+        return;
     const time_point now = m_state.loop.now();
     if (server->stats.suspect()) {
         m_over = server->pool.abort(*this);
--- a/lib/query/engine_state.cpp
+++ b/lib/query/engine_state.cpp
@@ -248,11 +248,14 @@
     if (share.observe(board.members.value(), now))
         updateShares();
     for (const auto &entry : services)
-        entry.second->nearest = duration::max();
+        entry.second->nearest = duration::zero();
+    // Maintenance may end queries, whose hooks may change the table.
     const auto all = servers;
     for (const auto &[id, server] : all) {
         server->pool.maintain();
-        server->service.nearest = std::min(server->service.nearest, server->stats.floor());
+        duration &nearest = server->service.nearest;
+        const duration floor = server->stats.floor();
+        nearest = nearest == duration::zero() ? floor : std::min(nearest, floor);
     }
     double slowdown = 0;
     double measured = 0;
--- a/lib/query/running_query.cpp
+++ b/lib/query/running_query.cpp
@@ -169,6 +169,9 @@
 
 void running_query::settle(const attempt &a)
 {
+    // The query does not wait for probes.
+    if (a.kind == attempt_kind::Probe)
+        return;
     for (const std::size_t i : a.groups) {
         assert(m_groups[i].outstanding > 0 && "each attempt settles once");
         --m_groups[i].outstanding;
@@ -180,15 +183,16 @@
 {
     if (m_over)
         return;
+    const bool late = m_state.loop.now() >= m_finishAt;
     if (m_merge->complete()) {
-        finish(false);
+        finish(late);
         return;
     }
     const bool open = std::any_of(m_groups.begin(), m_groups.end(), [](const group_state &g) {
         return !g.done && (g.outstanding > 0 || g.retryAt);
     });
     if (!open) {
-        finish(false);
+        finish(late);
         return;
     }
     armTimer();
--- a/lib/query/running_query_retry.cpp
+++ b/lib/query/running_query_retry.cpp
@@ -18,6 +18,8 @@
 
 void running_query::onFailure(const attempt &a, failure_cause cause)
 {
+    if (a.kind == attempt_kind::Probe)
+        return;
     const auto groups = a.groups;
     for (const std::size_t i : groups) {
         if (!failGroup(i, cause))
--- a/lib/query/running_query_scatter.cpp
+++ b/lib/query/running_query_scatter.cpp
@@ -120,7 +120,6 @@
             a.groups.push_back(i);
             a.shards.insert(a.shards.end(), g.shards.begin(), g.shards.end());
             g.tried.push_back(server.get());
-            ++g.outstanding;
         }
     }
     submit(started);
