--- /dev/null
+++ b/include/peridotwheel/limits/admission_queue.h
@@ -0,0 +1,176 @@
+#ifndef PERIDOTWHEEL_LIMITS_ADMISSION_QUEUE_H
+#define PERIDOTWHEEL_LIMITS_ADMISSION_QUEUE_H
+
+#include "peridotwheel/configuration/class_spec.h"
+#include "peridotwheel/limits/decaying_count.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <ext/pb_ds/assoc_container.hpp>
+#include <ext/pb_ds/tree_policy.hpp>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace peridotwheel {
+
+/// Share of the capacity that is divided among the ranks as their floors; the rest is given in
+/// strict rank order.
+constexpr double flooredShare = 0.5;
+
+/// The floor of each rank as a share of the capacity: half of the normalised weights of its
+/// classes, where the weight of a class is 1/sqrt(latency target).
+std::map<class_rank, double> rankFloors(const std::map<class_name, class_spec> &classes);
+
+/// What the queue is told about the slots behind it.
+struct slot_state
+{
+    std::uint32_t running = 0;
+    /// Queries that may run at once; at least 1.
+    std::uint32_t limit = 1;
+    duration serviceTime{};
+};
+
+enum class refusal_reason {
+    None,
+    DeadlinePassed,
+    TargetUnreachable, ///< Estimated wait plus service time exceeds the remaining time.
+    QueueFull,         ///< The queue is full of requests that are at least as urgent.
+};
+
+/// Orders waiting queries by rank and refuses those that cannot meet their target. Pure: time,
+/// slots and random numbers are arguments.
+///
+/// Order: the most urgent rank first, within a rank the earliest deadline first. A rank that has
+/// waited for 1/floor dispatches is served next regardless of its urgency, so that a flood of
+/// urgent work leaves each other rank its floor.
+///
+/// Refusal: a request is refused on arrival if the estimated wait plus the service time exceeds its
+/// remaining time. Behind others of its rank it may use only half of its slack for waiting: the
+/// queue of a rank stays short, and what is served still has time left for slow replies. What waits
+/// in spite of that until the remaining time is shorter than the service time is refused as well.
+///
+/// All operations cost O(log n) in queued requests and ranks; `setClasses` is linear in both.
+class admission_queue
+{
+public:
+    using ticket = std::uint64_t;
+
+    struct options
+    {
+        std::size_t maxQueued = 256;
+        /// False: first in, first out over all ranks, refusing only when full or past the deadline.
+        /// The baseline of the experiments.
+        bool enabled = true;
+    };
+
+    struct offer_result
+    {
+        refusal_reason reason = refusal_reason::None;
+        /// Valid if not refused.
+        ticket id = 0;
+        duration estimatedWait{};
+        /// A less urgent request that had to make room.
+        std::optional<ticket> displaced;
+    };
+
+    struct take_result
+    {
+        /// The request to run now, if any.
+        std::optional<ticket> run;
+        /// Requests that reached the front with too little time left.
+        std::vector<ticket> refused;
+    };
+
+    explicit admission_queue(options o);
+
+    /// Replaces the classes. Requests that wait keep the rank they came with; a rank without
+    /// classes keeps its floor until its last request has left.
+    void setClasses(const std::map<class_name, class_spec> &classes);
+
+    /// \p jitter is uniform in [0, 1). It varies the refusal threshold by a tenth, so that
+    /// instances that see the same overload do not swing between refusing all and admitting all in
+    /// step.
+    offer_result offer(class_rank rank, time_point deadline, time_point now,
+                       const slot_state &slots, double jitter);
+
+    /// Removes the next request to run. The caller has a free slot for it.
+    take_result take(time_point now, const slot_state &slots);
+
+    /// Removes requests whose remaining time is shorter than the service time.
+    std::vector<ticket> expire(time_point now, const slot_state &slots);
+    /// When `expire` will next have something to do.
+    std::optional<time_point> nextExpiry(const slot_state &slots) const;
+
+    /// Advised delay for a refused caller of \p rank. It grows with the ratio of offered to served
+    /// requests; \p jitter spreads it by half, so that callers do not return in step.
+    duration retryAfter(class_rank rank, time_point now, double jitter) const;
+    /// Expected wait of a request of \p rank that arrives now with a late deadline.
+    duration estimatedWait(class_rank rank, const slot_state &slots) const;
+
+    std::size_t size() const { return m_order.size(); }
+
+private:
+    struct key
+    {
+        class_rank rank;
+        /// The deadline, or a constant for first in, first out.
+        time_point order;
+        ticket id = 0;
+        time_point deadline;
+        /// Admitted against the estimate, to measure anew; runs while its deadline is ahead.
+        bool probe = false;
+
+        bool operator<(const key &other) const;
+    };
+
+    using order_tree =
+            __gnu_pbds::tree<key, __gnu_pbds::null_type, std::less<key>, __gnu_pbds::rb_tree_tag,
+                             __gnu_pbds::tree_order_statistics_node_update>;
+
+    struct rank_state
+    {
+        bool configured = false;
+        double floor = 0;
+        std::size_t quota = 1;
+        std::size_t queued = 0;
+        /// Dispatch number at which the floor entitles the rank to the next dispatch.
+        double dueAt = 0;
+        /// Smoothed time that the head of the rank's queue waits for its dispatch, in microseconds.
+        double headWait = 0;
+        time_point headSince{};
+        /// First refusal since the last admission.
+        std::optional<time_point> refusingSince;
+        decaying_count offered;
+        decaying_count served;
+    };
+
+    rank_state &stateOf(class_rank rank);
+    void insert(const key &k, time_point now);
+    void erase(const key &k);
+    void updateQuota(class_rank rank, const rank_state &r);
+    bool makeRoom(const key &k, offer_result &result);
+    class_rank nextRank() const;
+    void recordDispatch(class_rank rank, time_point now);
+    refusal_reason judge(rank_state &r, key &k, offer_result &result, time_point now,
+                         const slot_state &slots, double jitter) const;
+    double waitMicroseconds(const rank_state &r, std::size_t ahead, std::size_t ownAhead,
+                            const slot_state &slots) const;
+    bool tooLate(const key &k, time_point now, const slot_state &slots) const;
+    static key firstKey(class_rank rank);
+    static key lastKey(class_rank rank);
+
+    options m_options;
+    std::map<class_rank, rank_state> m_ranks;
+    order_tree m_order;
+    std::map<std::pair<time_point, ticket>, key> m_deadlines;
+    std::set<std::pair<double, class_rank>> m_due;
+    std::set<class_rank> m_overQuota;
+    ticket m_nextTicket = 1;
+    double m_dispatches = 0;
+};
+
+} // namespace peridotwheel
+
+#endif
--- /dev/null
+++ b/include/peridotwheel/limits/decaying_count.h
@@ -0,0 +1,37 @@
+#ifndef PERIDOTWHEEL_LIMITS_DECAYING_COUNT_H
+#define PERIDOTWHEEL_LIMITS_DECAYING_COUNT_H
+
+#include "peridotwheel/support/units.h"
+
+#include <cmath>
+
+namespace peridotwheel {
+
+/// A count in which older events weigh less: it falls to 1/e within `memory`.
+class decaying_count
+{
+public:
+    /// Long enough to smooth the bursts of callers that return together, short enough to forget a
+    /// flood soon after its end.
+    static constexpr duration memory = seconds(2);
+
+    void add(time_point now)
+    {
+        m_value = value(now) + 1;
+        m_at = now;
+    }
+
+    double value(time_point now) const
+    {
+        const auto age = static_cast<double>((now - m_at).count());
+        return m_value * std::exp(-age / static_cast<double>(memory.count()));
+    }
+
+private:
+    double m_value = 0;
+    time_point m_at{};
+};
+
+} // namespace peridotwheel
+
+#endif
--- a/include/peridotwheel/status/status_text.h
+++ b/include/peridotwheel/status/status_text.h
@@ -2,6 +2,7 @@
 #define PERIDOTWHEEL_STATUS_STATUS_TEXT_H
 
 #include "peridotwheel/configuration/configuration_document.h"
+#include "peridotwheel/limits/class_load.h"
 #include "peridotwheel/query/query.h"
 #include "peridotwheel/state/blackboard.h"
 
@@ -67,16 +68,6 @@
 std::string unknownRequestText(const status_words &words, const request_id &id,
                                claim_search search);
 
-/// Present load of one class on one instance.
-struct class_load
-{
-    std::uint32_t queued = 0;
-    std::uint32_t running = 0;
-    duration estimatedWait{};
-    /// Set while new requests of the class are refused: the advised delay.
-    std::optional<duration> retryAfter;
-};
-
 std::string classStatusText(const status_words &words, const class_spec &spec,
                             const class_load &load, lifecycle_phase phase);
 std::string unknownClassText(const status_words &words, const class_name &name);
--- /dev/null
+++ b/lib/limits/admission_controller.cpp
@@ -0,0 +1,275 @@
+#include "peridotwheel/limits/admission_controller.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace peridotwheel {
+
+namespace {
+
+/// Memory of the smoothed service time; jittered per instance, so that instances which see the same
+/// servers do not change their estimates in step.
+constexpr duration smoothingTime = milliseconds(200);
+constexpr double smoothingJitter = 0.5;
+/// Weight of one measured service time when no hook supplies an estimate.
+constexpr double measurementWeight = 0.1;
+/// A class counts as refused for this long after its last refusal.
+constexpr duration refusalMemory = seconds(1);
+/// Expiry checks are no more frequent than this; a refusal that is this much later still leaves
+/// the caller time to act.
+constexpr duration minExpiryDelay = milliseconds(2);
+
+query_answer notRun(answer_kind kind, duration retryAfter, std::string detail)
+{
+    query_answer answer;
+    answer.kind = kind;
+    answer.ran = ran_state::No;
+    answer.retryAfter = retryAfter;
+    answer.detail = std::move(detail);
+    return answer;
+}
+
+std::string inMilliseconds(duration d)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(d).count()) + " ms";
+}
+
+} // namespace
+
+admission_controller::admission_controller(event_loop &loop, blackboard &board,
+                                           query_executor &inner, admission_hooks hooks,
+                                           counter_set &counters, event_sink events,
+                                           std::uint64_t seed, admission_queue::options options)
+    : m_loop(loop)
+    , m_board(board)
+    , m_inner(inner)
+    , m_hooks(std::move(hooks))
+    , m_events(std::move(events))
+    , m_random(seed)
+    , m_queue(options)
+    , m_smoothing(fromMilliseconds(toMilliseconds(smoothingTime) *
+                                   (1 + smoothingJitter * m_random.fraction())))
+    , m_admitted(counters.at("admission.admitted"))
+    , m_refusedTarget(counters.at("admission.refused-target"))
+    , m_refusedFull(counters.at("admission.refused-full"))
+    , m_refusedFront(counters.at("admission.refused-at-front"))
+    , m_displaced(counters.at("admission.displaced"))
+    , m_queuedGauge(counters.at("admission.queued"))
+    , m_runningGauge(counters.at("admission.running"))
+{
+    adoptClasses(board.configuration.value());
+    m_configuration = board.configuration.subscribe(
+            [this](const auto &document) { adoptClasses(*document); });
+}
+
+admission_controller::~admission_controller() = default;
+
+void admission_controller::adoptClasses(const configuration_document &document)
+{
+    m_queue.setClasses(document.classes);
+    for (auto it = m_classes.begin(); it != m_classes.end();) {
+        const class_state &state = it->second;
+        const bool idle = state.queued == 0 && state.running == 0;
+        const bool gone = idle && document.classes.count(it->first) == 0;
+        it = gone ? m_classes.erase(it) : std::next(it);
+    }
+}
+
+slot_state admission_controller::slots()
+{
+    updateServiceTime();
+    m_slots.running = m_running;
+    m_slots.limit = std::max<std::uint32_t>(m_hooks.concurrencyLimit(), 1);
+    return m_slots;
+}
+
+void admission_controller::updateServiceTime()
+{
+    if (!m_hooks.expectedServiceTime)
+        return;
+    const time_point now = m_loop.now();
+    const auto age = static_cast<double>((now - m_serviceTimeAt).count());
+    const bool first = m_serviceTimeAt == time_point();
+    const double weight = first ? 1 : 1 - std::exp(-age / static_cast<double>(m_smoothing.count()));
+    m_serviceTimeAt = now;
+    updateRate(m_hooks.expectedServiceTime(), weight);
+}
+
+void admission_controller::updateRate(duration measured, double weight)
+{
+    const auto difference = static_cast<double>((measured - m_slots.serviceTime).count());
+    m_slots.serviceTime += duration(std::llround(difference * weight));
+}
+
+void admission_controller::run(query_request request, answer_hook done)
+{
+    const time_point now = m_loop.now();
+    const auto offered =
+            m_queue.offer(request.spec.rank, request.deadline, now, slots(), m_random.fraction());
+    if (offered.displaced) {
+        m_displaced.add();
+        auto victim = removeWaiting(*offered.displaced);
+        refuse(victim.request, std::move(victim.done), "displaced by a more urgent request");
+    }
+    switch (offered.reason) {
+    case refusal_reason::DeadlinePassed:
+        m_loop.post([done = std::move(done)] {
+            done(notRun(answer_kind::Expired, seconds(1),
+                        "not run: the deadline passed before the start; allow more time"));
+        });
+        return;
+    case refusal_reason::TargetUnreachable:
+        m_refusedTarget.add();
+        refuse(request, std::move(done),
+               "expected wait " + inMilliseconds(offered.estimatedWait) + " and service " +
+                       inMilliseconds(m_slots.serviceTime) + " exceed the remaining " +
+                       inMilliseconds(request.deadline - now));
+        return;
+    case refusal_reason::QueueFull:
+        m_refusedFull.add();
+        refuse(request, std::move(done), "the queue is full of requests as urgent as this one");
+        return;
+    case refusal_reason::None:
+        break;
+    }
+    ++m_classes[request.spec.name].queued;
+    m_waiting.emplace(offered.id, waiting_query{std::move(request), std::move(done)});
+    pump();
+}
+
+void admission_controller::pump()
+{
+    for (slot_state s = slots(); m_running < s.limit; s = slots()) {
+        const auto taken = m_queue.take(m_loop.now(), s);
+        for (const ticket id : taken.refused) {
+            m_refusedFront.add();
+            auto late = removeWaiting(id);
+            refuse(late.request, std::move(late.done), "too little time was left at the front");
+        }
+        if (!taken.run)
+            break;
+        start(removeWaiting(*taken.run));
+    }
+    m_queuedGauge.set(m_queue.size());
+    m_runningGauge.set(m_running);
+    expireLater();
+}
+
+void admission_controller::start(waiting_query query)
+{
+    ++m_running;
+    ++m_classes[query.request.spec.name].running;
+    m_admitted.add();
+    report(event_kind::Admission, query.request, "admitted");
+    const class_name name = query.request.spec.name;
+    m_inner.run(std::move(query.request),
+                [this, alive = std::weak_ptr<int>(m_alive), name, started = m_loop.now(),
+                 done = std::move(query.done)](query_answer answer) {
+                    if (alive.expired())
+                        return done(std::move(answer));
+                    finish(name, started, done, std::move(answer));
+                });
+}
+
+void admission_controller::finish(const class_name &name, time_point started,
+                                  const answer_hook &done, query_answer answer)
+{
+    --m_running;
+    --m_classes[name].running;
+    if (!m_hooks.expectedServiceTime)
+        updateRate(m_loop.now() - started, measurementWeight);
+    // The hook may destroy this controller, so it is called last.
+    pump();
+    done(std::move(answer));
+}
+
+admission_controller::waiting_query admission_controller::removeWaiting(ticket id)
+{
+    auto node = m_waiting.extract(id);
+    waiting_query query = std::move(node.mapped());
+    --m_classes[query.request.spec.name].queued;
+    return query;
+}
+
+void admission_controller::refuse(const query_request &request, answer_hook done,
+                                  const std::string &reason)
+{
+    const time_point now = m_loop.now();
+    const duration delay = m_queue.retryAfter(request.spec.rank, now, m_random.fraction());
+    class_state &state = m_classes[request.spec.name];
+    state.refusedAt = now;
+    state.retryAfter = delay;
+    report(event_kind::Refusal, request, "refused: " + reason);
+    m_loop.post([done = std::move(done), delay, detail = "not run: " + reason] {
+        done(notRun(answer_kind::RefusedLoad, delay, detail));
+    });
+}
+
+void admission_controller::expireLater()
+{
+    const auto at = m_queue.nextExpiry(m_slots);
+    if (!at) {
+        m_expiry.cancel();
+        m_expiryAt.reset();
+        return;
+    }
+    // A timer that fires too early only sets the next one, so it is kept.
+    if (m_expiryAt && *m_expiryAt <= *at && m_expiry)
+        return;
+    m_expiryAt = at;
+    m_expiry = m_loop.schedule(std::max<duration>(*at - m_loop.now(), minExpiryDelay), [this] {
+        m_expiryAt.reset();
+        for (const ticket id : m_queue.expire(m_loop.now(), slots())) {
+            m_refusedFront.add();
+            auto late = removeWaiting(id);
+            refuse(late.request, std::move(late.done), "too little time was left in the queue");
+        }
+        m_queuedGauge.set(m_queue.size());
+        expireLater();
+    });
+}
+
+void admission_controller::report(event_kind kind, const query_request &request,
+                                  const std::string &text)
+{
+    if (m_events)
+        m_events({{}, kind, request.id, request.spec.name, text});
+}
+
+void admission_controller::addRefusal(class_load &load, const class_state &state, time_point now)
+{
+    if (state.refusedAt == time_point() || now - state.refusedAt > refusalMemory)
+        return;
+    load.retryAfter = std::max(load.retryAfter.value_or(duration::zero()), state.retryAfter);
+}
+
+class_load admission_controller::loadOf(const class_name &name) const
+{
+    class_load load;
+    const auto &classes = m_board.configuration.value().classes;
+    if (const auto spec = classes.find(name); spec != classes.end())
+        load.estimatedWait = m_queue.estimatedWait(spec->second.rank, m_slots);
+    const auto it = m_classes.find(name);
+    if (it == m_classes.end())
+        return load;
+    load.queued = it->second.queued;
+    load.running = it->second.running;
+    addRefusal(load, it->second, m_loop.now());
+    return load;
+}
+
+class_load admission_controller::totalLoad() const
+{
+    class_load load;
+    load.queued = static_cast<std::uint32_t>(m_queue.size());
+    load.running = m_running;
+    for (const auto &[name, state] : m_classes)
+        addRefusal(load, state, m_loop.now());
+    for (const auto &[name, spec] : m_board.configuration.value().classes) {
+        load.estimatedWait =
+                std::max(load.estimatedWait, m_queue.estimatedWait(spec.rank, m_slots));
+    }
+    return load;
+}
+
+} // namespace peridotwheel
--- /dev/null
+++ b/lib/limits/admission_queue.cpp
@@ -0,0 +1,321 @@
+#include "peridotwheel/limits/admission_queue.h"
+
+#include <algorithm>
+#include <cassert>
+#include <tuple>
+
+namespace peridotwheel {
+
+namespace {
+
+/// Behind others of its rank a request may wait for this part of its slack only. The estimate
+/// errs by about as much as single service times vary, so the other part is left for that.
+constexpr double waitShareOfSlack = 0.5;
+/// Weight of a new head-of-queue wait in the smoothed value; about ten dispatches are remembered.
+constexpr double headWaitWeight = 0.1;
+constexpr double thresholdJitter = 0.1;
+/// A rank that is refused throughout gets one request through in this time, since without new
+/// measurements a service time that was slow once would refuse the rank for ever.
+constexpr duration probeInterval = seconds(1);
+constexpr duration minRetryDelay = seconds(1);
+constexpr duration maxRetryDelay = seconds(60);
+constexpr double retryJitter = 0.5;
+
+duration scaled(duration d, double factor)
+{
+    return duration(static_cast<duration::rep>(static_cast<double>(d.count()) * factor));
+}
+
+} // namespace
+
+std::map<class_rank, double> rankFloors(const std::map<class_name, class_spec> &classes)
+{
+    std::map<class_rank, double> floors;
+    double total = 0;
+    for (const auto &[name, spec] : classes) {
+        const auto target = std::max<duration::rep>(spec.latencyTarget.count(), 1);
+        const double weight = 1.0 / std::sqrt(static_cast<double>(target));
+        floors[spec.rank] += weight;
+        total += weight;
+    }
+    for (auto &[rank, floor] : floors)
+        floor *= flooredShare / total;
+    return floors;
+}
+
+bool admission_queue::key::operator<(const key &other) const
+{
+    return std::tie(rank, order, id) < std::tie(other.rank, other.order, other.id);
+}
+
+admission_queue::admission_queue(options o)
+    : m_options(o)
+{
+    assert(o.maxQueued > 0 && "the queue must hold at least one request");
+}
+
+admission_queue::rank_state &admission_queue::stateOf(class_rank rank)
+{
+    auto [it, isNew] = m_ranks.try_emplace(rank);
+    if (isNew)
+        it->second.dueAt = m_dispatches;
+    return it->second;
+}
+
+void admission_queue::setClasses(const std::map<class_name, class_spec> &classes)
+{
+    if (!m_options.enabled)
+        return;
+    const auto floors = rankFloors(classes);
+    for (auto it = m_ranks.begin(); it != m_ranks.end();) {
+        it->second.configured = false;
+        const bool gone = it->second.queued == 0 && floors.count(it->first) == 0;
+        it = gone ? m_ranks.erase(it) : std::next(it);
+    }
+    for (const auto &[rank, floor] : floors) {
+        rank_state &r = stateOf(rank);
+        r.configured = true;
+        r.floor = floor;
+        const double share = floor * static_cast<double>(m_options.maxQueued);
+        r.quota = std::max<std::size_t>(1, static_cast<std::size_t>(share));
+    }
+    m_due.clear();
+    m_overQuota.clear();
+    for (const auto &[rank, r] : m_ranks) {
+        if (r.queued != 0 && r.floor > 0)
+            m_due.emplace(r.dueAt, rank);
+        updateQuota(rank, r);
+    }
+}
+
+void admission_queue::updateQuota(class_rank rank, const rank_state &r)
+{
+    if (r.queued > r.quota) {
+        m_overQuota.insert(rank);
+        return;
+    }
+    m_overQuota.erase(rank);
+}
+
+void admission_queue::insert(const key &k, time_point now)
+{
+    rank_state &r = stateOf(k.rank);
+    m_order.insert(k);
+    m_deadlines.emplace(std::make_pair(k.deadline, k.id), k);
+    if (++r.queued == 1) {
+        r.headSince = now;
+        // Credit for an idle time is limited to one dispatch.
+        r.dueAt = std::max(r.dueAt, m_dispatches);
+        if (r.floor > 0)
+            m_due.emplace(r.dueAt, k.rank);
+    }
+    updateQuota(k.rank, r);
+}
+
+void admission_queue::erase(const key &k)
+{
+    const auto it = m_ranks.find(k.rank);
+    assert(it != m_ranks.end() && "a rank is kept while it has queued requests");
+    rank_state &r = it->second;
+    m_order.erase(k);
+    m_deadlines.erase({k.deadline, k.id});
+    if (--r.queued == 0)
+        m_due.erase({r.dueAt, k.rank});
+    updateQuota(k.rank, r);
+    if (r.queued == 0 && !r.configured && m_options.enabled)
+        m_ranks.erase(it);
+}
+
+admission_queue::key admission_queue::firstKey(class_rank rank)
+{
+    key k;
+    k.rank = rank;
+    k.order = time_point::min();
+    return k;
+}
+
+admission_queue::key admission_queue::lastKey(class_rank rank)
+{
+    key k;
+    k.rank = rank;
+    k.order = time_point::max();
+    k.id = ~ticket{0};
+    return k;
+}
+
+admission_queue::offer_result admission_queue::offer(class_rank rank, time_point deadline,
+                                                     time_point now, const slot_state &slots,
+                                                     double jitter)
+{
+    key k;
+    k.rank = m_options.enabled ? rank : class_rank();
+    k.order = m_options.enabled ? deadline : time_point();
+    k.id = m_nextTicket++;
+    k.deadline = deadline;
+
+    offer_result result;
+    rank_state &r = stateOf(k.rank);
+    r.offered.add(now);
+    result.reason = judge(r, k, result, now, slots, jitter);
+    if (result.reason == refusal_reason::None && !makeRoom(k, result))
+        result.reason = refusal_reason::QueueFull;
+    if (result.reason != refusal_reason::None) {
+        if (!r.refusingSince)
+            r.refusingSince = now;
+        return result;
+    }
+    result.id = k.id;
+    r.refusingSince.reset();
+    insert(k, now);
+    return result;
+}
+
+refusal_reason admission_queue::judge(rank_state &r, key &k, offer_result &result, time_point now,
+                                      const slot_state &slots, double jitter) const
+{
+    if (k.deadline <= now)
+        return refusal_reason::DeadlinePassed;
+    const std::size_t ahead = m_order.order_of_key(k);
+    const std::size_t ownAhead = ahead - m_order.order_of_key(firstKey(k.rank));
+    const double wait = waitMicroseconds(r, ahead, ownAhead, slots);
+    result.estimatedWait = duration(static_cast<duration::rep>(wait));
+    if (!m_options.enabled)
+        return refusal_reason::None;
+    const double factor = 1 + thresholdJitter * (2 * jitter - 1);
+    const auto slack = static_cast<double>((k.deadline - now - slots.serviceTime).count());
+    const double usable = ownAhead == 0 ? slack : slack * waitShareOfSlack;
+    if (slack >= 0 && wait * factor <= usable)
+        return refusal_reason::None;
+    k.probe = r.refusingSince && now - *r.refusingSince >= probeInterval;
+    return k.probe ? refusal_reason::None : refusal_reason::TargetUnreachable;
+}
+
+double admission_queue::waitMicroseconds(const rank_state &r, std::size_t ahead,
+                                         std::size_t ownAhead, const slot_state &slots) const
+{
+    if (slots.running + ahead < slots.limit)
+        return 0;
+    const double perDispatch = static_cast<double>(slots.serviceTime.count()) /
+                               std::max<std::uint32_t>(slots.limit, 1);
+    const double position = static_cast<double>(ownAhead) + 1;
+    const double strict = (static_cast<double>(ahead) + 1) * perDispatch;
+    const double estimate = std::max(strict, r.headWait * position);
+    if (r.floor <= 0)
+        return estimate;
+    // The floor guarantees this, whatever happens in the more urgent ranks.
+    return std::min(estimate, position * perDispatch / r.floor);
+}
+
+bool admission_queue::makeRoom(const key &k, offer_result &result)
+{
+    if (m_order.size() < m_options.maxQueued)
+        return true;
+    // Each rank keeps its floor's share of the places; beyond it the least urgent rank makes room.
+    const bool anyOver = !m_overQuota.empty();
+    const class_rank rank = anyOver ? *m_overQuota.rbegin() : m_order.rbegin()->rank;
+    const key victim = *std::prev(m_order.upper_bound(lastKey(rank)));
+    const rank_state &own = stateOf(k.rank);
+    const bool entitled = anyOver && rank != k.rank && own.queued < own.quota;
+    if (!entitled && !(k < victim))
+        return false;
+    erase(victim);
+    result.displaced = victim.id;
+    return true;
+}
+
+class_rank admission_queue::nextRank() const
+{
+    if (!m_due.empty() && m_due.begin()->first <= m_dispatches)
+        return m_due.begin()->second;
+    return m_order.begin()->rank;
+}
+
+void admission_queue::recordDispatch(class_rank rank, time_point now)
+{
+    rank_state &r = stateOf(rank);
+    if (r.floor > 0) {
+        const double interval = 1 / r.floor;
+        m_due.erase({r.dueAt, rank});
+        const bool due = r.dueAt <= m_dispatches;
+        r.dueAt = (due ? r.dueAt : m_dispatches) + interval;
+        m_due.emplace(r.dueAt, rank);
+    }
+    ++m_dispatches;
+    const auto waited = static_cast<double>((now - r.headSince).count());
+    r.headWait += headWaitWeight * (waited - r.headWait);
+    r.headSince = now;
+    r.served.add(now);
+}
+
+admission_queue::take_result admission_queue::take(time_point now, const slot_state &slots)
+{
+    take_result result;
+    while (!m_order.empty()) {
+        const key k = *m_order.lower_bound(firstKey(nextRank()));
+        const bool late = tooLate(k, now, slots);
+        if (!late)
+            recordDispatch(k.rank, now);
+        erase(k);
+        if (!late) {
+            result.run = k.id;
+            return result;
+        }
+        result.refused.push_back(k.id);
+    }
+    return result;
+}
+
+bool admission_queue::tooLate(const key &k, time_point now, const slot_state &slots) const
+{
+    if (k.probe || !m_options.enabled)
+        return k.deadline <= now;
+    return k.deadline - now < slots.serviceTime;
+}
+
+std::vector<admission_queue::ticket> admission_queue::expire(time_point now,
+                                                             const slot_state &slots)
+{
+    std::vector<ticket> out;
+    while (!m_deadlines.empty()) {
+        const key k = m_deadlines.begin()->second;
+        if (!tooLate(k, now, slots))
+            return out;
+        erase(k);
+        out.push_back(k.id);
+    }
+    return out;
+}
+
+std::optional<time_point> admission_queue::nextExpiry(const slot_state &slots) const
+{
+    if (m_deadlines.empty())
+        return std::nullopt;
+    const key &k = m_deadlines.begin()->second;
+    if (k.probe || !m_options.enabled)
+        return k.deadline;
+    // One microsecond later the remaining time is shorter than the service time.
+    return k.deadline - slots.serviceTime + duration(1);
+}
+
+duration admission_queue::retryAfter(class_rank rank, time_point now, double jitter) const
+{
+    const auto it = m_ranks.find(m_options.enabled ? rank : class_rank());
+    double ratio = 1;
+    if (it != m_ranks.end())
+        ratio = (it->second.offered.value(now) + 1) / (it->second.served.value(now) + 1);
+    const duration delay = std::min(scaled(minRetryDelay, std::max(ratio, 1.0)), maxRetryDelay);
+    return scaled(delay, 1 + retryJitter * jitter);
+}
+
+duration admission_queue::estimatedWait(class_rank rank, const slot_state &slots) const
+{
+    const class_rank wanted = m_options.enabled ? rank : class_rank();
+    const auto it = m_ranks.find(wanted);
+    const std::size_t ahead = m_order.order_of_key(lastKey(wanted));
+    const std::size_t ownAhead = ahead - m_order.order_of_key(firstKey(wanted));
+    const rank_state none;
+    const rank_state &r = it == m_ranks.end() ? none : it->second;
+    return duration(static_cast<duration::rep>(waitMicroseconds(r, ahead, ownAhead, slots)));
+}
+
+} // namespace peridotwheel
--- /dev/null
+++ b/unittests/limits/admission_controller_test.cpp
@@ -0,0 +1,191 @@
+#include "peridotwheel/limits/admission_controller.h"
+#include "peridotwheel/support/manual_loop.h"
+
+#include <gtest/gtest.h>
+
+using namespace peridotwheel;
+
+namespace {
+
+class_spec classOf(const char *name, std::uint32_t rank, milliseconds target)
+{
+    class_spec spec;
+    spec.name = class_name(name);
+    spec.rank = class_rank(rank);
+    spec.latencyTarget = target;
+    return spec;
+}
+
+const class_spec urgent = classOf("safety-cards", 0, milliseconds(140));
+const class_spec middle = classOf("lesson-lookups", 1, milliseconds(400));
+const class_spec low = classOf("booking-desk", 2, milliseconds(2000));
+
+configuration_document documentOf(const std::vector<class_spec> &classes)
+{
+    configuration_document document;
+    for (const class_spec &spec : classes)
+        document.classes[spec.name] = spec;
+    return document;
+}
+
+/// Answers each query after a log-normal time, as a query over many shards does.
+class timed_executor : public query_executor
+{
+public:
+    timed_executor(event_loop &loop, double meanMs, std::uint64_t seed)
+        : m_loop(loop)
+        , m_time(std::log(meanMs), 0.25)
+        , m_random(seed)
+    {
+    }
+
+    void run(query_request, answer_hook done) override
+    {
+        const std::uint64_t id = m_next++;
+        const duration d = fromMilliseconds(m_time(m_random.engine()));
+        m_timers[id] = m_loop.schedule(d, [this, id, hook = std::move(done)] {
+            query_answer answer;
+            answer.kind = answer_kind::Complete;
+            answer.ran = ran_state::Yes;
+            auto callback = hook;
+            m_timers.erase(id);
+            callback(answer);
+        });
+    }
+
+private:
+    event_loop &m_loop;
+    std::lognormal_distribution<double> m_time;
+    random_source m_random;
+    std::uint64_t m_next = 0;
+    std::map<std::uint64_t, timer> m_timers;
+};
+
+struct tally
+{
+    double offered = 0;
+    double inTarget = 0;
+    double late = 0;
+    double refused = 0;
+};
+
+struct scenario
+{
+    std::uint32_t limit = 6;
+    double serviceMs = 20;
+    /// Arrivals per second by class.
+    std::map<const class_spec *, double> rates;
+    bool enabled = true;
+};
+
+/// Runs an open-loop load for 20 s and counts answers within the target by class.
+class load_run
+{
+public:
+    load_run(const scenario &s, std::uint64_t seed)
+        : m_scenario(s)
+        , m_random(seed)
+        , m_inner(m_loop, s.serviceMs, seed + 1)
+        , m_board(std::make_unique<blackboard>())
+    {
+        m_board->configuration.set(documentOf({urgent, middle, low}));
+        admission_hooks hooks{
+                [limit = s.limit] { return limit; },
+                [mean = s.serviceMs] { return fromMilliseconds(mean); },
+        };
+        admission_queue::options options;
+        options.enabled = s.enabled;
+        m_admission = std::make_unique<admission_controller>(
+                m_loop, *m_board, m_inner, hooks, m_counters, event_sink{}, seed, options);
+        for (const auto &[spec, rate] : s.rates)
+            arrive(*spec, rate);
+        m_loop.advance(seconds(20));
+    }
+
+    /// Answers per second within the target, as a share of the slots' capacity.
+    double share(const class_spec &spec) { return tallies[spec.name].inTarget / 20 / capacity(); }
+    double useful() { return share(urgent) + share(middle) + share(low); }
+    double kept(const class_spec &spec)
+    {
+        return tallies[spec.name].inTarget / tallies[spec.name].offered;
+    }
+    double capacity() const
+    {
+        constexpr double logNormalMean = 1.0317; // exp(0.25^2 / 2)
+        return m_scenario.limit * 1000 / (m_scenario.serviceMs * logNormalMean);
+    }
+
+    std::map<class_name, tally> tallies;
+
+private:
+    void arrive(const class_spec &spec, double rate)
+    {
+        const double gap = -std::log(1 - m_random.fraction()) / rate;
+        m_arrivals[spec.name] = m_loop.schedule(fromMilliseconds(gap * 1000), [this, spec, rate] {
+            const class_spec copy = spec;
+            const double again = rate;
+            offer(copy);
+            arrive(copy, again);
+        });
+    }
+
+    void offer(const class_spec &spec)
+    {
+        query_request request;
+        request.spec = spec;
+        request.arrival = m_loop.now();
+        request.deadline = m_loop.now() + spec.latencyTarget;
+        tally &t = tallies[spec.name];
+        ++t.offered;
+        m_admission->run(request, [this, &t, deadline = request.deadline](const query_answer &a) {
+            const bool useful = a.ran == ran_state::Yes && m_loop.now() <= deadline;
+            double &count = useful ? t.inTarget : a.ran == ran_state::Yes ? t.late : t.refused;
+            ++count;
+        });
+    }
+
+    scenario m_scenario;
+    manual_loop m_loop;
+    random_source m_random;
+    timed_executor m_inner;
+    std::unique_ptr<blackboard> m_board;
+    counter_set m_counters;
+    std::unique_ptr<admission_controller> m_admission;
+    std::map<class_name, timer> m_arrivals;
+};
+
+scenario shapes[] = {{2, 20, {}, true}, {6, 20, {}, true}, {10, 40, {}, true}, {3, 50, {}, true}};
+
+} // namespace
+
+// A flood of the least urgent class must neither delay the others nor waste capacity on late
+// answers.
+TEST(admissionController, floodOfTheLeastUrgentClass)
+{
+    for (scenario s : shapes) {
+        const double capacity = s.limit * 1000 / s.serviceMs;
+        s.rates = {{&urgent, 0.3 * capacity}, {&middle, 0.2 * capacity}, {&low, 10 * capacity}};
+        load_run run(s, 11);
+        std::printf("limit %u service %.0f: urgent %.4f middle %.4f low share %.3f useful %.3f\n",
+                    s.limit, s.serviceMs, run.kept(urgent), run.kept(middle), run.share(low),
+                    run.useful());
+        EXPECT_GE(run.kept(urgent), 0.995);
+        EXPECT_GE(run.kept(middle), 0.95);
+        EXPECT_GE(run.useful(), 0.9);
+    }
+}
+
+TEST(admissionController, floodOfTheMostUrgentClassLeavesTheOthersTheirFloors)
+{
+    for (scenario s : shapes) {
+        const double capacity = s.limit * 1000 / s.serviceMs;
+        s.rates = {{&urgent, 10 * capacity}, {&middle, 0.3 * capacity}, {&low, 0.3 * capacity}};
+        load_run run(s, 12);
+        std::printf("limit %u service %.0f: urgent share %.3f middle %.3f low %.3f useful %.3f\n",
+                    s.limit, s.serviceMs, run.share(urgent), run.share(middle), run.share(low),
+                    run.useful());
+        EXPECT_GE(run.share(middle), 0.10);
+        EXPECT_GE(run.share(low), 0.05);
+        EXPECT_GE(run.useful(), 0.9);
+    }
+}
