Add the control plane of an instance

Platform client over HTTP, configuration and shard map controllers, membership with probes and suspicion, peer exchanges and their assembly.

--- /dev/null
+++ b/include/peridotwheel/entry/instance_registration.h
@@ -0,0 +1,57 @@
+#ifndef PERIDOTWHEEL_ENTRY_INSTANCE_REGISTRATION_H
+#define PERIDOTWHEEL_ENTRY_INSTANCE_REGISTRATION_H
+
+#include "peridotwheel/membership/member.h"
+#include "peridotwheel/platform/platform_client.h"
+#include "peridotwheel/support/event_loop.h"
+#include "peridotwheel/support/random_source.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace peridotwheel {
+
+/// The instance's own record at the platform, `instances/ID`. Writes are repeated with increasing
+/// delays until the platform holds what was asked for last.
+class instance_registration
+{
+public:
+    enum class target { Live, Leaving, Absent };
+    using done_hook = std::function<void()>;
+
+    instance_registration(event_loop &loop, platform_client &platform, std::uint64_t seed,
+                          member self, duration retryFirst = milliseconds(250),
+                          duration retryMax = seconds(10));
+
+    /// Brings the record to \p wanted; \p done is called when the platform has confirmed it. A
+    /// later call replaces an earlier one, whose hook is then not called.
+    void set(target wanted, done_hook done = nullptr);
+    bool confirmed() const { return m_confirmed; }
+
+private:
+    void read();
+    void onRead(const result<platform_object> &read);
+    void onWritten(const error *problem);
+    void finish();
+    std::string value() const;
+
+    event_loop &m_loop;
+    platform_client &m_platform;
+    random_source m_random;
+    member m_self;
+    duration m_retryFirst;
+    duration m_retryMax;
+    duration m_backoff{};
+    target m_wanted = target::Live;
+    bool m_confirmed = false;
+    /// Raised by each `set` and each attempt; replies to earlier attempts are ignored.
+    std::uint64_t m_attempt = 0;
+    done_hook m_done;
+    timer m_timer;
+    std::shared_ptr<instance_registration *> m_this;
+};
+
+} // namespace peridotwheel
+
+#endif
--- /dev/null
+++ b/include/peridotwheel/membership/server_directory.h
@@ -0,0 +1,70 @@
+#ifndef PERIDOTWHEEL_MEMBERSHIP_SERVER_DIRECTORY_H
+#define PERIDOTWHEEL_MEMBERSHIP_SERVER_DIRECTORY_H
+
+#include "peridotwheel/membership/member.h"
+#include "peridotwheel/membership/update_queue.h"
+
+#include <vector>
+
+namespace peridotwheel {
+
+/// One run of one server is leaving. There is no way back within a run, so that a set of these
+/// merges by union.
+struct server_leaving
+{
+    server_id id;
+    start_id start;
+
+    friend bool operator<(const server_leaving &a, const server_leaving &b)
+    {
+        return a.id != b.id ? a.id < b.id : a.start < b.start;
+    }
+    friend bool operator==(const server_leaving &a, const server_leaving &b)
+    {
+        return a.id == b.id && a.start == b.start;
+    }
+};
+
+/// The backend servers of the platform's list, merged with the news about leaving ones. Only the
+/// list brings servers in.
+///
+/// Size: about 250 bytes for each server of the list and 100 for each leaving one; at most
+/// `maxNews` of the latter.
+class server_directory
+{
+public:
+    /// All servers of a data centre (4,100 at full size) may leave at once.
+    static constexpr std::size_t maxNews = 8192;
+    /// A server must be missing from this many lists in a row before it is removed, since the list
+    /// lags and a stale read may lack it.
+    static constexpr unsigned absencesUntilRemoved = 3;
+    /// News about servers that the list does not hold is kept for this many lists, as the list may
+    /// come later than the news.
+    static constexpr unsigned listsUntilForgotten = 300;
+
+    /// Returns whether the records have changed.
+    bool applyList(const std::vector<server_record> &list, unsigned transmits);
+    /// Returns whether this was new.
+    bool noteLeaving(const server_leaving &news, unsigned transmits);
+
+    /// News for one message: recent first, then some of the rest in turn.
+    std::vector<server_leaving> newsForMessage(std::size_t maxRecent, std::size_t maxRepeated);
+
+    const server_map &servers() const { return m_servers; }
+    std::size_t newsCount() const { return m_leaving.size(); }
+
+private:
+    bool isLeaving(const server_record &s) const;
+    void forgetOldNews();
+
+    server_map m_servers;
+    std::map<server_id, unsigned> m_absences;
+    /// Known leaving runs, with the number of lists read since the list last held the run.
+    std::map<server_leaving, unsigned> m_leaving;
+    update_queue<server_leaving> m_recent;
+    server_leaving m_cursor;
+};
+
+} // namespace peridotwheel
+
+#endif
--- /dev/null
+++ b/include/peridotwheel/membership/update_queue.h
@@ -0,0 +1,55 @@
+#ifndef PERIDOTWHEEL_MEMBERSHIP_UPDATE_QUEUE_H
+#define PERIDOTWHEEL_MEMBERSHIP_UPDATE_QUEUE_H
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <vector>
+
+namespace peridotwheel {
+
+/// Keys of recent updates, each to be sent a limited number of times, in turn.
+///
+/// Holds each key once; its size is bounded by the number of keys that changed lately.
+template <class Key>
+class update_queue
+{
+public:
+    /// Queues \p key for \p transmits messages, anew if it is queued already.
+    void add(const Key &key, unsigned transmits)
+    {
+        auto [it, isNew] = m_left.emplace(key, transmits);
+        it->second = transmits;
+        if (isNew)
+            m_order.push_back(key);
+    }
+
+    /// Up to \p count keys for the next message, those sent longest ago first.
+    std::vector<Key> take(std::size_t count)
+    {
+        std::vector<Key> out;
+        const std::size_t total = std::min(count, m_order.size());
+        out.reserve(total);
+        for (std::size_t i = 0; i < total; ++i) {
+            Key key = std::move(m_order.front());
+            m_order.pop_front();
+            auto it = m_left.find(key);
+            if (--it->second > 0)
+                m_order.push_back(key);
+            else
+                m_left.erase(it);
+            out.push_back(std::move(key));
+        }
+        return out;
+    }
+
+    bool empty() const { return m_order.empty(); }
+
+private:
+    std::deque<Key> m_order;
+    std::map<Key, unsigned> m_left;
+};
+
+} // namespace peridotwheel
+
+#endif
--- /dev/null
+++ b/include/peridotwheel/peer/peer_gossip.h
@@ -0,0 +1,80 @@
+#ifndef PERIDOTWHEEL_PEER_PEER_GOSSIP_H
+#define PERIDOTWHEEL_PEER_PEER_GOSSIP_H
+
+#include "peridotwheel/configuration/configuration_controller.h"
+#include "peridotwheel/membership/membership_controller.h"
+#include "peridotwheel/peer/peer_client.h"
+#include "peridotwheel/routing/snapshot_controller.h"
+
+namespace peridotwheel {
+
+struct peer_gossip_options
+{
+    /// Long enough for two round trips between regions and a busy peer, short against the time
+    /// from suspicion to death.
+    duration exchangeTimeout = seconds(1);
+    /// Data centres of up to this many other members are informed of a new version directly.
+    std::size_t pushToAllUpTo = 8;
+    /// In larger ones each member that learns of it informs this many others; with three or more
+    /// nearly all hear of it, and the periodic exchange reaches the rest.
+    std::size_t pushFanOut = 4;
+    /// Documents up to this size go along with a push; larger ones follow when the reply shows that
+    /// the peer lacks them.
+    std::size_t pushDocumentBytes = 16 * 1024;
+};
+
+/// Composes and merges the messages between instances: digests, membership, leaving servers and
+/// documents. Pushes new versions at once; the probes of the membership controller are the periodic
+/// exchange that repairs gaps.
+///
+/// State: none but options; the size of messages is bounded, whatever the size of the fleet.
+class peer_gossip
+{
+public:
+    peer_gossip(event_loop &loop, http_client &http, membership_controller &membership,
+                configuration_controller &configuration, snapshot_controller &snapshots,
+                counter_set &counters, std::uint64_t seed, peer_gossip_options options = {});
+    ~peer_gossip();
+
+    /// Connects the controllers' hooks and starts the membership controller.
+    void start();
+    /// Handles one message of a peer and returns the answer.
+    exchange answer(const exchange &message);
+    /// Sends the present state to the data centre and, if \p everywhere, to one member of each
+    /// other data centre.
+    void push(bool everywhere);
+
+private:
+    struct documents
+    {
+        bool configuration = false;
+        bool shardMap = false;
+    };
+    using done_hook = std::function<void(bool answered)>;
+
+    exchange compose(const member &target, documents with);
+    void merge(const exchange &message);
+    documents lackedBy(const exchange &message) const;
+    void send(const member &target, documents with, bool followUp, done_hook done);
+    void onReply(const member &target, const result<exchange> &reply, bool followUp,
+                 const done_hook &done);
+    void onAdopted(version_source source, documents changed);
+    void pushTo(std::vector<member> members, std::size_t limit, documents with);
+    void pushWithin(documents with);
+    void pushAcross(documents with);
+
+    event_loop &m_loop;
+    peer_client m_client;
+    membership_controller &m_membership;
+    configuration_controller &m_configuration;
+    snapshot_controller &m_snapshots;
+    counter &m_pushes;
+    random_source m_random;
+    peer_gossip_options m_options;
+    bool m_leavingPushPending = false;
+    std::shared_ptr<peer_gossip *> m_this;
+};
+
+} // namespace peridotwheel
+
+#endif
--- /dev/null
+++ b/include/peridotwheel/platform/http_platform_client.h
@@ -0,0 +1,57 @@
+#ifndef PERIDOTWHEEL_PLATFORM_HTTP_PLATFORM_CLIENT_H
+#define PERIDOTWHEEL_PLATFORM_HTTP_PLATFORM_CLIENT_H
+
+#include "peridotwheel/http/http_client.h"
+#include "peridotwheel/platform/platform_client.h"
+
+namespace peridotwheel {
+
+struct http_platform_options
+{
+    endpoint platform;
+    data_centre_id dataCentre;
+    /// The platform is slow for long periods; a shorter wait would turn slow writes into unknown
+    /// outcomes.
+    duration timeout = seconds(2);
+    /// A watch may be answered this much later than the wait that was asked for.
+    duration watchMargin = seconds(2);
+};
+
+/// The platform's object API over HTTP. Replies are untrusted: whatever does not parse is an error.
+class http_platform_client : public platform_client
+{
+public:
+    /// Told after each call whether the platform answered it.
+    using health_hook = std::function<void(bool answered)>;
+
+    http_platform_client(http_client &http, http_platform_options options,
+                         health_hook onHealth = nullptr);
+    ~http_platform_client() override;
+
+    void setHealthHook(health_hook onHealth);
+
+    void get(const object_key &key, hook<platform_object> done) override;
+    void put(const object_key &key, const std::string &value, write_condition condition,
+             hook<object_version> done) override;
+    void remove(const object_key &key, object_version version, hook<void> done) override;
+    void list(const std::string &kind, hook<watch_result> done) override;
+    void watch(const std::string &kind, object_version since, duration wait,
+               hook<watch_result> done) override;
+    void instances(hook<instance_list> done) override;
+
+private:
+    struct shared;
+    using reply_hook = std::function<void(const http_outcome &)>;
+
+    void send(http_method method, std::string path, http_headers headers, std::string body,
+              duration timeout, reply_hook done);
+
+    http_client &m_http;
+    http_platform_options m_options;
+    /// Replies that arrive after the client is destroyed find it gone.
+    std::shared_ptr<shared> m_shared;
+};
+
+} // namespace peridotwheel
+
+#endif
--- /dev/null
+++ b/lib/membership/server_directory.cpp
@@ -0,0 +1,88 @@
+#include "peridotwheel/membership/server_directory.h"
+
+#include <algorithm>
+
+namespace peridotwheel {
+
+namespace {
+
+bool sameRecord(const server_record &a, const server_record &b)
+{
+    return a.start == b.start && a.service == b.service && a.sharded == b.sharded &&
+           a.dataCentre == b.dataCentre && a.address == b.address &&
+           a.connectionLimit == b.connectionLimit && a.leaving == b.leaving;
+}
+
+} // namespace
+
+bool server_directory::isLeaving(const server_record &s) const
+{
+    return m_leaving.count({s.id, s.start}) != 0;
+}
+
+bool server_directory::applyList(const std::vector<server_record> &list, unsigned transmits)
+{
+    bool changed = false;
+    for (auto &[id, count] : m_absences)
+        ++count;
+    for (server_record record : list) {
+        m_absences[record.id] = 0;
+        if (record.leaving)
+            noteLeaving({record.id, record.start}, transmits);
+        record.leaving = record.leaving || isLeaving(record);
+        auto [it, isNew] = m_servers.emplace(record.id, record);
+        if (!isNew && sameRecord(it->second, record))
+            continue;
+        it->second = std::move(record);
+        changed = true;
+    }
+    for (auto it = m_absences.begin(); it != m_absences.end();) {
+        if (it->second < absencesUntilRemoved) {
+            ++it;
+            continue;
+        }
+        m_servers.erase(it->first);
+        it = m_absences.erase(it);
+        changed = true;
+    }
+    forgetOldNews();
+    return changed;
+}
+
+void server_directory::forgetOldNews()
+{
+    for (auto it = m_leaving.begin(); it != m_leaving.end();) {
+        const auto server = m_servers.find(it->first.id);
+        const bool listed = server != m_servers.end() && server->second.start == it->first.start;
+        it->second = listed ? 0 : it->second + 1;
+        it = it->second > listsUntilForgotten ? m_leaving.erase(it) : std::next(it);
+    }
+}
+
+bool server_directory::noteLeaving(const server_leaving &news, unsigned transmits)
+{
+    if (m_leaving.count(news) != 0 || m_leaving.size() >= maxNews)
+        return false;
+    m_leaving.emplace(news, 0);
+    m_recent.add(news, transmits);
+    auto it = m_servers.find(news.id);
+    if (it != m_servers.end() && it->second.start == news.start)
+        it->second.leaving = true;
+    return true;
+}
+
+std::vector<server_leaving> server_directory::newsForMessage(std::size_t maxRecent,
+                                                             std::size_t maxRepeated)
+{
+    auto out = m_recent.take(maxRecent);
+    for (std::size_t i = std::min(maxRepeated, m_leaving.size()); i > 0; --i) {
+        auto it = m_leaving.upper_bound(m_cursor);
+        if (it == m_leaving.end())
+            it = m_leaving.begin();
+        m_cursor = it->first;
+        out.push_back(m_cursor);
+    }
+    return out;
+}
+
+} // namespace peridotwheel
--- /dev/null
+++ b/lib/platform/http_platform_client.cpp
@@ -0,0 +1,208 @@
+#include "peridotwheel/platform/http_platform_client.h"
+
+#include "platform_json.h"
+
+#include <cstdlib>
+#include <event2/http.h>
+
+namespace peridotwheel {
+
+/// What outstanding calls refer to.
+struct http_platform_client::shared
+{
+    health_hook onHealth;
+};
+
+namespace {
+
+std::string encoded(const std::string &text)
+{
+    char *raw = evhttp_uriencode(text.data(), static_cast<ev_ssize_t>(text.size()), 0);
+    std::string out = raw != nullptr ? raw : "";
+    std::free(raw); // NOLINT(cppcoreguidelines-no-malloc): evhttp allocates with malloc
+    return out;
+}
+
+std::string path(const object_key &key)
+{
+    return "/objects/" + encoded(key.kind) + "/" + encoded(key.name);
+}
+
+std::string describe(const object_key &key)
+{
+    return key.kind + "/" + key.name;
+}
+
+std::string statusText(const http_outcome &outcome)
+{
+    return "status " + std::to_string(outcome.reply.status);
+}
+
+/// What a reply other than success means for a read.
+error readError(const http_outcome &outcome, const std::string &what)
+{
+    if (outcome.failure == transport_failure::NotSent)
+        return {error_kind::Unavailable, "platform unreachable, cannot read " + what};
+    if (outcome.failure == transport_failure::MayHaveRun)
+        return {error_kind::TimedOut, "no reply from the platform on reading " + what};
+    if (outcome.reply.status == 404)
+        return {error_kind::NotFound, "the platform holds no " + what};
+    return {error_kind::Unavailable,
+            "the platform answered with " + statusText(outcome) + " on reading " + what};
+}
+
+/// What a reply other than success means for a write. A status that does not rule out an effect
+/// counts as unknown.
+error writeError(const http_outcome &outcome, const std::string &what)
+{
+    if (outcome.failure == transport_failure::NotSent)
+        return {error_kind::Unavailable, "platform unreachable, nothing was written to " + what};
+    if (outcome.failure == transport_failure::MayHaveRun)
+        return {error_kind::OutcomeUnknown, "no reply from the platform on writing " + what};
+    switch (outcome.reply.status) {
+    case 404:
+        return {error_kind::NotFound, "the platform holds no " + what};
+    case 412: {
+        auto current = versionFromJson(outcome.reply.body);
+        return {error_kind::Conflict,
+                what + " has changed" +
+                        (current ? ", it is at version " + std::to_string(current.value().value())
+                                 : "")};
+    }
+    case 400:
+    case 413:
+        return {error_kind::InvalidArgument,
+                "the platform refuses the value of " + what + " with " + statusText(outcome)};
+    case 429:
+        return {error_kind::Unavailable, "the platform sheds load, nothing was written to " + what};
+    default:
+        return {error_kind::OutcomeUnknown,
+                "the platform answered with " + statusText(outcome) + " on writing " + what};
+    }
+}
+
+bool success2xx(const http_outcome &outcome)
+{
+    return outcome.ok() && outcome.reply.status >= 200 && outcome.reply.status < 300;
+}
+
+} // namespace
+
+http_platform_client::http_platform_client(http_client &http, http_platform_options options,
+                                           health_hook onHealth)
+    : m_http(http)
+    , m_options(std::move(options))
+    , m_shared(std::make_shared<shared>(shared{std::move(onHealth)}))
+{
+}
+
+http_platform_client::~http_platform_client() = default;
+
+void http_platform_client::setHealthHook(health_hook onHealth)
+{
+    m_shared->onHealth = std::move(onHealth);
+}
+
+void http_platform_client::send(http_method method, std::string path, http_headers headers,
+                                std::string body, duration timeout, reply_hook done)
+{
+    http_request request;
+    request.method = method;
+    request.path = std::move(path);
+    request.headers = std::move(headers);
+    request.headers.emplace_back("X-Data-Centre", m_options.dataCentre.value());
+    if (!body.empty())
+        request.headers.emplace_back("Content-Type", "application/json");
+    request.body = std::move(body);
+    std::weak_ptr<shared> weak = m_shared;
+    m_http.send(m_options.platform, request, timeout,
+                [weak, done = std::move(done)](const http_outcome &outcome) {
+                    const auto self = weak.lock();
+                    if (!self)
+                        return;
+                    if (self->onHealth)
+                        self->onHealth(outcome.ok() && outcome.reply.status < 500);
+                    done(outcome);
+                });
+}
+
+void http_platform_client::get(const object_key &key, hook<platform_object> done)
+{
+    send(http_method::Get, path(key), {}, {}, m_options.timeout,
+         [key, done = std::move(done)](const http_outcome &outcome) {
+             if (!success2xx(outcome))
+                 return done(readError(outcome, describe(key)));
+             done(objectFromJson(key, outcome.reply.body));
+         });
+}
+
+void http_platform_client::put(const object_key &key, const std::string &value,
+                               write_condition condition, hook<object_version> done)
+{
+    http_headers headers;
+    if (condition.version)
+        headers.emplace_back("If-Match", std::to_string(condition.version->value()));
+    else
+        headers.emplace_back("If-None-Match", "*");
+    send(http_method::Put, path(key), std::move(headers), value, m_options.timeout,
+         [key, done = std::move(done)](const http_outcome &outcome) {
+             if (!success2xx(outcome))
+                 return done(writeError(outcome, describe(key)));
+             auto version = versionFromJson(outcome.reply.body);
+             if (!version)
+                 return done(error{error_kind::OutcomeUnknown, version.error().message});
+             done(version.value());
+         });
+}
+
+void http_platform_client::remove(const object_key &key, object_version version, hook<void> done)
+{
+    send(http_method::Delete, path(key), {{"If-Match", std::to_string(version.value())}}, {},
+         m_options.timeout, [key, done = std::move(done)](const http_outcome &outcome) {
+             if (!success2xx(outcome))
+                 return done(writeError(outcome, describe(key)));
+             done(success());
+         });
+}
+
+void http_platform_client::list(const std::string &kind, hook<watch_result> done)
+{
+    send(http_method::Get, "/objects/" + encoded(kind), {}, {}, m_options.timeout,
+         [kind, done = std::move(done)](const http_outcome &outcome) {
+             if (!success2xx(outcome))
+                 return done(readError(outcome, "objects of kind " + kind));
+             done(listFromJson(kind, outcome.reply.body));
+         });
+}
+
+void http_platform_client::watch(const std::string &kind, object_version since, duration wait,
+                                 hook<watch_result> done)
+{
+    const auto waitMs = std::chrono::duration_cast<milliseconds>(wait).count();
+    send(http_method::Get,
+         "/watch/" + encoded(kind) + "?since=" + std::to_string(since.value()) +
+                 "&timeoutMs=" + std::to_string(waitMs),
+         {}, {}, wait + m_options.watchMargin,
+         [kind, done = std::move(done)](const http_outcome &outcome) {
+             if (outcome.ok() && outcome.reply.status == 410) {
+                 watch_result compacted;
+                 compacted.compacted = true;
+                 return done(std::move(compacted));
+             }
+             if (!success2xx(outcome))
+                 return done(readError(outcome, "changes of kind " + kind));
+             done(watchFromJson(kind, outcome.reply.body));
+         });
+}
+
+void http_platform_client::instances(hook<instance_list> done)
+{
+    send(http_method::Get, "/instances", {}, {}, m_options.timeout,
+         [done = std::move(done)](const http_outcome &outcome) {
+             if (!success2xx(outcome))
+                 return done(readError(outcome, "instance list"));
+             done(instancesFromJson(outcome.reply.body));
+         });
+}
+
+} // namespace peridotwheel
--- /dev/null
+++ b/lib/platform/object_watcher.cpp
@@ -0,0 +1,109 @@
+#include "peridotwheel/platform/object_watcher.h"
+
+#include <algorithm>
+
+namespace peridotwheel {
+
+object_watcher::object_watcher(event_loop &loop, platform_client &platform, counter_set &counters,
+                               std::string kind, std::uint64_t seed, object_watcher_options options,
+                               objects_hook onObjects)
+    : m_loop(loop)
+    , m_platform(platform)
+    , m_reads(counters.at("platform.reads." + kind))
+    , m_failures(counters.at("platform.read_failures." + kind))
+    , m_kind(std::move(kind))
+    , m_random(seed)
+    , m_options(options)
+    , m_onObjects(std::move(onObjects))
+    , m_backoff(options.retryFirst)
+    , m_self(std::make_shared<object_watcher *>(this))
+{
+}
+
+object_watcher::~object_watcher() = default;
+
+void object_watcher::start()
+{
+    m_started = true;
+    step();
+}
+
+void object_watcher::setActive(bool active)
+{
+    if (m_active == active)
+        return;
+    m_active = active;
+    // A watch in flight runs to its end, which is harmless; a new watcher starts at once.
+    if (m_started && active && !m_inFlight)
+        again(duration::zero());
+}
+
+void object_watcher::step()
+{
+    if (m_active && m_listed)
+        return watch();
+    readAll();
+}
+
+void object_watcher::readAll()
+{
+    m_inFlight = true;
+    m_reads.add();
+    std::weak_ptr<object_watcher *> weak = m_self;
+    m_platform.list(m_kind, [weak, call = ++m_call](const result<watch_result> &read) {
+        if (auto self = weak.lock())
+            (*self)->onRead(call, read, false);
+    });
+}
+
+void object_watcher::watch()
+{
+    m_inFlight = true;
+    m_reads.add();
+    std::weak_ptr<object_watcher *> weak = m_self;
+    m_platform.watch(m_kind, m_next, m_options.watchWait,
+                     [weak, call = ++m_call](const result<watch_result> &read) {
+                         if (auto self = weak.lock())
+                             (*self)->onRead(call, read, true);
+                     });
+}
+
+void object_watcher::onRead(std::uint64_t call, const result<watch_result> &read, bool wasWatch)
+{
+    if (call != m_call)
+        return;
+    m_inFlight = false;
+    if (!read) {
+        m_failures.add();
+        const duration delay = m_backoff;
+        m_backoff = std::min(m_backoff * 2, m_options.retryMax);
+        return again(jittered(delay));
+    }
+    m_backoff = m_options.retryFirst;
+    if (read.value().compacted) {
+        m_listed = false;
+        return again(m_options.betweenWatches);
+    }
+    // A stale list may name a lower revision. Watching from there repeats changes, which the
+    // receiver ignores, and skips none.
+    m_next = wasWatch ? std::max(m_next, read.value().next) : read.value().next;
+    m_listed = true;
+    again(m_active ? m_options.betweenWatches : jittered(m_options.idleRead));
+    if (!read.value().changed.empty())
+        m_onObjects(read.value().changed);
+}
+
+void object_watcher::again(duration delay)
+{
+    if (!m_active)
+        m_listed = false;
+    m_timer = m_loop.schedule(delay, [this] { step(); });
+}
+
+duration object_watcher::jittered(duration d)
+{
+    return duration(static_cast<duration::rep>(static_cast<double>(d.count()) *
+                                               (0.5 + m_random.fraction())));
+}
+
+} // namespace peridotwheel
--- /dev/null
+++ b/lib/platform/platform_json.cpp
@@ -0,0 +1,195 @@
+#include "platform_json.h"
+
+#include "peridotwheel/support/bounded_json.h"
+
+#include <charconv>
+#include <stdexcept>
+
+namespace peridotwheel {
+
+namespace {
+
+using json = nlohmann::json;
+
+/// Carries a complaint about one field out of the parsers below.
+struct bad_reply : std::runtime_error
+{
+    using std::runtime_error::runtime_error;
+};
+
+const json &field(const json &in, const char *name)
+{
+    if (!in.is_object())
+        throw bad_reply(std::string("expected an object that holds '") + name + "'");
+    auto it = in.find(name);
+    if (it == in.end())
+        throw bad_reply(std::string("field '") + name + "' is missing");
+    return *it;
+}
+
+std::uint64_t number(const json &in, const char *name)
+{
+    const json &value = field(in, name);
+    if (!value.is_number_unsigned())
+        throw bad_reply(std::string("field '") + name + "' must be a whole number from 0");
+    return value.get<std::uint64_t>();
+}
+
+std::string text(const json &in, const char *name)
+{
+    const json &value = field(in, name);
+    if (!value.is_string() || value.get_ref<const std::string &>().empty())
+        throw bad_reply(std::string("field '") + name + "' must be a string that is not empty");
+    return value.get<std::string>();
+}
+
+const json &array(const json &in, const char *name)
+{
+    const json &value = field(in, name);
+    if (!value.is_array())
+        throw bad_reply(std::string("field '") + name + "' must be an array");
+    return value;
+}
+
+endpoint address(const json &in, const char *name)
+{
+    auto parsed = endpointFromText(text(in, name));
+    if (!parsed)
+        throw bad_reply(std::string("field '") + name + "': " + parsed.error().message);
+    return parsed.value();
+}
+
+bool leaving(const json &in)
+{
+    const std::string state = text(in, "state");
+    if (state != "live" && state != "leaving")
+        throw bad_reply("field 'state' must be 'live' or 'leaving'");
+    return state == "leaving";
+}
+
+platform_object item(const std::string &kind, const json &in)
+{
+    return {{kind, text(in, "name")},
+            object_version(number(in, "version")),
+            field(in, "value").dump(-1, ' ', false, json::error_handler_t::replace)};
+}
+
+member instanceItem(const json &in)
+{
+    member m;
+    m.id = instance_id(text(in, "id"));
+    m.start = start_id(number(in, "start"));
+    m.dataCentre = data_centre_id(text(in, "dataCentre"));
+    m.peers = address(in, "peers");
+    m.operators = address(in, "operators");
+    m.state = leaving(in) ? member_state::Leaving : member_state::Alive;
+    return m;
+}
+
+server_record serverItem(const json &in)
+{
+    server_record s;
+    s.id = server_id(text(in, "id"));
+    s.start = start_id(number(in, "start"));
+    s.service = service_name(text(in, "service"));
+    const json &sharded = field(in, "sharded");
+    if (!sharded.is_boolean())
+        throw bad_reply("field 'sharded' must be true or false");
+    s.sharded = sharded.get<bool>();
+    s.dataCentre = data_centre_id(text(in, "dataCentre"));
+    s.address = address(in, "address");
+    const auto limit = number(in, "connectionLimit");
+    if (limit > 1000000)
+        throw bad_reply("field 'connectionLimit' must be at most 1000000");
+    s.connectionLimit = static_cast<std::uint32_t>(limit);
+    s.leaving = leaving(in);
+    return s;
+}
+
+/// Runs \p parse on the JSON \p body and turns every complaint into an error.
+template <class T, class Parse>
+result<T> parsed(const std::string &body, Parse parse)
+{
+    const auto document = parseBoundedJson(body);
+    if (!document)
+        return failure(error_kind::InvalidArgument,
+                       "the platform's reply is malformed: " + document.error().message);
+    try {
+        return parse(document.value());
+    } catch (const std::exception &e) {
+        return failure(error_kind::InvalidArgument,
+                       std::string("the platform's reply is malformed: ") + e.what());
+    }
+}
+
+} // namespace
+
+result<endpoint> endpointFromText(const std::string &text)
+{
+    const auto colon = text.rfind(':');
+    std::uint16_t port = 0;
+    if (colon != std::string::npos && colon > 0) {
+        const char *end = text.data() + text.size();
+        const auto [stop, code] = std::from_chars(text.data() + colon + 1, end, port);
+        if (code == std::errc() && stop == end && port != 0)
+            return endpoint{text.substr(0, colon), port};
+    }
+    return failure(error_kind::InvalidArgument,
+                   "'" + text.substr(0, 64) + "' is not an address; write it as IP:PORT");
+}
+
+result<platform_object> objectFromJson(const object_key &key, const std::string &body)
+{
+    return parsed<platform_object>(body, [&](const json &in) {
+        return platform_object{
+                key, object_version(number(in, "version")),
+                field(in, "value").dump(-1, ' ', false, json::error_handler_t::replace)};
+    });
+}
+
+result<object_version> versionFromJson(const std::string &body)
+{
+    return parsed<object_version>(
+            body, [](const json &in) { return object_version(number(in, "version")); });
+}
+
+result<watch_result> listFromJson(const std::string &kind, const std::string &body)
+{
+    return parsed<watch_result>(body, [&](const json &in) {
+        watch_result out;
+        out.next = object_version(number(in, "revision"));
+        for (const json &i : array(in, "items"))
+            out.changed.push_back(item(kind, i));
+        return out;
+    });
+}
+
+result<watch_result> watchFromJson(const std::string &kind, const std::string &body)
+{
+    return parsed<watch_result>(body, [&](const json &in) {
+        watch_result out;
+        out.next = object_version(number(in, "next"));
+        for (const json &i : array(in, "changed"))
+            out.changed.push_back(item(kind, i));
+        for (const json &name : array(in, "removed")) {
+            if (!name.is_string())
+                throw bad_reply("field 'removed' must hold names");
+            out.removed.push_back({kind, name.get<std::string>()});
+        }
+        return out;
+    });
+}
+
+result<instance_list> instancesFromJson(const std::string &body)
+{
+    return parsed<instance_list>(body, [](const json &in) {
+        instance_list out;
+        for (const json &i : array(in, "instances"))
+            out.instances.push_back(instanceItem(i));
+        for (const json &s : array(in, "servers"))
+            out.servers.push_back(serverItem(s));
+        return out;
+    });
+}
+
+} // namespace peridotwheel
--- /dev/null
+++ b/lib/platform/watcher_election.cpp
@@ -0,0 +1,22 @@
+#include "peridotwheel/platform/watcher_election.h"
+
+#include "peridotwheel/support/hash.h"
+
+namespace peridotwheel {
+
+bool isWatcher(const member_map &members, const member &self, std::string_view kind,
+               std::size_t watchers)
+{
+    const auto own = rendezvousWeight(kind, self.id.value());
+    std::size_t ahead = 0;
+    for (const auto &[id, m] : members) {
+        if (id == self.id || m.state != member_state::Alive || m.dataCentre != self.dataCentre)
+            continue;
+        const auto weight = rendezvousWeight(kind, id.value());
+        if (weight > own || (weight == own && id < self.id))
+            ++ahead;
+    }
+    return ahead < watchers;
+}
+
+} // namespace peridotwheel
--- /dev/null
+++ b/lib/routing/snapshot_controller.cpp
@@ -0,0 +1,173 @@
+#include "peridotwheel/routing/snapshot_controller.h"
+
+#include "peridotwheel/platform/watcher_election.h"
+#include "peridotwheel/support/bounded_json.h"
+#include "peridotwheel/support/log.h"
+
+namespace peridotwheel {
+
+const std::string snapshotKind = "snapshots";
+const std::string currentSnapshotName = "current";
+
+namespace {
+
+result<index_version> pointerFromJson(const std::string &text)
+{
+    const auto parsed = parseBoundedJson(text);
+    if (!parsed)
+        return parsed.error();
+    const auto &value = parsed.value();
+    if (!value.is_object() || !value.contains("version") || !value["version"].is_number_unsigned())
+        return failure(error_kind::InvalidArgument, "expected {\"version\":NUMBER}");
+    return index_version(value["version"].get<std::uint64_t>());
+}
+
+} // namespace
+
+snapshot_controller::snapshot_controller(event_loop &loop, blackboard &board,
+                                         platform_client &platform, counter_set &counters,
+                                         event_sink events, std::uint64_t seed, member self,
+                                         object_watcher_options options)
+    : m_loop(loop)
+    , m_board(board)
+    , m_platform(platform)
+    , m_events(std::move(events))
+    , m_adopted(counters.at("snapshots.adopted"))
+    , m_refused(counters.at("snapshots.refused"))
+    , m_self(std::move(self))
+    , m_watcher(loop, platform, counters, snapshotKind, seed, options,
+                [this](const auto &objects) { onObjects(objects); })
+    , m_this(std::make_shared<snapshot_controller *>(this))
+{
+    auto elect = [this](const member_map &members) {
+        m_watcher.setActive(isWatcher(members, m_self, snapshotKind));
+    };
+    m_members = board.members.subscribe([elect](const auto &members) { elect(*members); });
+    elect(board.members.value());
+}
+
+void snapshot_controller::start()
+{
+    m_watcher.start();
+}
+
+index_version snapshot_controller::version() const
+{
+    const auto &current = m_board.snapshots.value().current;
+    return current ? current->version : index_version();
+}
+
+void snapshot_controller::onObjects(const std::vector<platform_object> &objects)
+{
+    for (const auto &object : objects) {
+        if (object.key.name != currentSnapshotName) {
+            onMap(object);
+            continue;
+        }
+        const auto pointer = pointerFromJson(object.value);
+        if (!pointer)
+            refuse(object.key.name, pointer.error().message);
+        else
+            m_wanted = std::max(m_wanted, pointer.value());
+    }
+    adoptWanted();
+}
+
+void snapshot_controller::onMap(const platform_object &object)
+{
+    auto map = shardMapFromJson(object.value);
+    if (!map)
+        return refuse(object.key.name, map.error().message);
+    if (std::to_string(map.value().version.value()) != object.key.name)
+        return refuse(object.key.name, "the name differs from the version in the map");
+    const index_version v = map.value().version;
+    if (v <= version())
+        return;
+    m_published[v] = std::make_shared<const shard_map>(std::move(map).value());
+    // The wanted map must stay; of the others the lowest are nearest to becoming current.
+    while (m_published.size() > retainedMaps) {
+        auto last = std::prev(m_published.end());
+        m_published.erase(last->first == m_wanted ? m_published.begin() : last);
+    }
+}
+
+void snapshot_controller::adoptWanted()
+{
+    if (m_wanted <= version())
+        return;
+    auto it = m_published.find(m_wanted);
+    if (it == m_published.end())
+        return fetchWanted();
+    adopt(it->second, version_source::Platform);
+}
+
+/// The pointer can arrive before its map when a watch reports them separately.
+void snapshot_controller::fetchWanted()
+{
+    if (m_fetching)
+        return;
+    m_fetching = true;
+    std::weak_ptr<snapshot_controller *> weak = m_this;
+    m_platform.get({snapshotKind, std::to_string(m_wanted.value())},
+                   [weak, asked = m_wanted](const result<platform_object> &read) {
+                       const auto self = weak.lock();
+                       if (!self)
+                           return;
+                       (*self)->m_fetching = false;
+                       if (read)
+                           (*self)->onMap(read.value());
+                       (*self)->onFetched(asked);
+                   });
+}
+
+void snapshot_controller::onFetched(index_version asked)
+{
+    if (m_published.count(asked) != 0 || m_wanted != asked)
+        return adoptWanted();
+    m_retry = m_loop.schedule(fetchRetry, [this] { adoptWanted(); });
+}
+
+bool snapshot_controller::offer(const std::string &text, index_version v, version_source source)
+{
+    if (v <= version())
+        return false;
+    auto map = shardMapFromJson(text);
+    if (!map || map.value().version != v) {
+        refuse(std::to_string(v.value()),
+               map ? "the version differs from the digest" : map.error().message);
+        return false;
+    }
+    adopt(std::make_shared<const shard_map>(std::move(map).value()), source);
+    return true;
+}
+
+void snapshot_controller::adopt(const shard_map_ptr &map, version_source source)
+{
+    snapshot_set next = m_board.snapshots.value();
+    const index_version v = map->version;
+    next.current = map;
+    next.retained[v] = map;
+    while (next.retained.size() > retainedMaps)
+        next.retained.erase(next.retained.begin());
+    m_published.erase(m_published.begin(), m_published.upper_bound(v));
+    m_text = toJson(*map);
+    m_adopted.add();
+    m_board.snapshots.set(std::move(next));
+    LOG(INFO) << "event=snapshot-adopted version=" << v << " shards=" << map->shards.size();
+    if (m_events) {
+        timeline_event event;
+        event.kind = event_kind::Snapshot;
+        event.text = "snapshot version=" + std::to_string(v.value());
+        m_events(std::move(event));
+    }
+    if (m_onAdopted)
+        m_onAdopted(source);
+}
+
+void snapshot_controller::refuse(const std::string &what, const std::string &why)
+{
+    m_refused.add();
+    LOG(ERROR) << "event=snapshot-refused object=" << logValue(what) << " reason=" << logValue(why);
+}
+
+} // namespace peridotwheel
