Run non-repeatable requests at most once by claims

A claim record in the platform's object API moves by conditional updates only, and only the try whose update to sent took effect sends the request. A lost reply is settled by reading back and comparing the nonce.

--- /dev/null
+++ b/include/peridotwheel/claims/claim_protocol.h
@@ -0,0 +1,108 @@
+#ifndef PERIDOTWHEEL_CLAIMS_CLAIM_PROTOCOL_H
+#define PERIDOTWHEEL_CLAIMS_CLAIM_PROTOCOL_H
+
+#include "peridotwheel/claims/claim_options.h"
+#include "peridotwheel/claims/claim_record.h"
+#include "peridotwheel/claims/claim_settler.h"
+#include "peridotwheel/support/event_loop.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace peridotwheel {
+
+/// One try to run one non-repeatable request at most once over all tries at all instances.
+///
+/// Each step looks at the record last seen and makes one conditional update:
+///
+///     absent, released      -> claimed by this try
+///     claimed by this try   -> sent, then the request is run, once
+///     claimed by another    -> released if it is old enough, else the try ends as in progress
+///     sent by another       -> the try ends as in progress or outcome unknown
+///     done, failed          -> the try ends with the stored answer
+///
+/// A write whose reply is lost is followed by a read: the nonce tells whose write took effect. A
+/// request costs 3 platform writes (claimed, sent, done) and no reads when nothing goes wrong.
+class claim_protocol
+{
+public:
+    /// Runs the request; the hook gets the answer once.
+    using run_hook = std::function<void(answer_hook)>;
+
+    struct parameters
+    {
+        request_id id;
+        instance_id self;
+        std::string nonce; ///< Unique to this try.
+        wall_time issuedAt{};
+        time_point deadline;
+        run_hook run;
+        /// Whether this instance holds or held another try that may have run the request.
+        std::function<bool()> mayHaveRunHere;
+        answer_hook done; ///< Called once, never from within `start`.
+    };
+
+    claim_protocol(event_loop &loop, platform_client &platform, claim_settler &settler,
+                   const claim_options &options, parameters p);
+    claim_protocol(const claim_protocol &) = delete;
+    claim_protocol &operator=(const claim_protocol &) = delete;
+
+    void start();
+    /// True once the request was handed to the run hook.
+    bool ran() const { return m_ran; }
+
+private:
+    struct seen_record
+    {
+        claim_record record;
+        object_version version;
+    };
+    /// What the store said last, which decides whether a refusal may say "not run".
+    enum class knowledge {
+        Nothing,    ///< Nothing, or that nobody held the request.
+        OwnClaim,   ///< This try held the claim.
+        OtherHolder ///< Another try holds or held the request, or may do.
+    };
+
+    void claim(write_condition condition);
+    void write(claim_record record, write_condition condition);
+    void readBack();
+    void retryReadBack();
+    void onWritten(const claim_record &record, const result<object_version> &r);
+    void onRead(const result<platform_object> &r);
+    void evaluate(const seen_record &seen);
+    void evaluateOther(const seen_record &seen);
+    void runOnce(const seen_record &seen);
+    void onRun(const seen_record &seen, query_answer answer);
+
+    bool spendCall();
+    bool mine(const claim_record &record) const { return record.nonce == m_p.nonce; }
+    ran_state refusalState() const;
+    duration ageOf(wall_time t) const;
+    void refuse(const std::string &why);
+    void answerInProgress(const claim_record &record, duration wait);
+    void finish(query_answer answer);
+    void releaseInBackground(std::optional<object_version> version);
+
+    event_loop &m_loop;
+    platform_client &m_platform;
+    claim_settler &m_settler;
+    const claim_options &m_options;
+    parameters m_p;
+    time_point m_claimWritten;
+    wall_time m_claimedAt{};
+    timer m_deadline;
+    timer m_delay;
+    int m_calls = 0;
+    bool m_claimMayExist = false;
+    bool m_ran = false;
+    bool m_finished = false;
+    knowledge m_knowledge = knowledge::Nothing;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace peridotwheel
+
+#endif
--- /dev/null
+++ b/include/peridotwheel/claims/claim_record.h
@@ -0,0 +1,45 @@
+#ifndef PERIDOTWHEEL_CLAIMS_CLAIM_RECORD_H
+#define PERIDOTWHEEL_CLAIMS_CLAIM_RECORD_H
+
+#include "peridotwheel/platform/platform_client.h"
+#include "peridotwheel/query/query.h"
+#include "peridotwheel/support/error.h"
+
+#include <optional>
+#include <string>
+
+namespace peridotwheel {
+
+/// `Claimed` -> `Sent` -> `Done` or `Failed`; `Claimed` -> `Released`. The holder of a `Sent`
+/// record may release it as well if it is certain that nothing ran.
+enum class claim_state { Claimed, Sent, Done, Failed, Released };
+
+const char *toString(claim_state state);
+
+/// What the platform stores about one non-repeatable request.
+struct claim_record
+{
+    claim_state state = claim_state::Claimed;
+    /// Random and unique to one try of one instance; tells after a lost reply whose write it was.
+    std::string nonce;
+    instance_id instance;
+    wall_time claimedAt{};
+    /// When `state` was written.
+    wall_time changedAt{};
+    /// The answer of a request that is `Done` or `Failed`.
+    std::optional<query_answer> answer;
+};
+
+/// Larger results are not stored with the answer; a resend then learns only that the request ran.
+constexpr std::size_t maxStoredResultBytes = 16 * 1024;
+
+/// The object that holds the claim of \p id.
+object_key claimKey(const request_id &id);
+
+std::string toJson(const claim_record &record);
+/// Error: `InvalidArgument` for text that is not a claim record.
+result<claim_record> claimRecordFromJson(const std::string &text);
+
+} // namespace peridotwheel
+
+#endif
--- /dev/null
+++ b/include/peridotwheel/claims/claim_settler.h
@@ -0,0 +1,60 @@
+#ifndef PERIDOTWHEEL_CLAIMS_CLAIM_SETTLER_H
+#define PERIDOTWHEEL_CLAIMS_CLAIM_SETTLER_H
+
+#include "peridotwheel/claims/claim_options.h"
+#include "peridotwheel/claims/claim_record.h"
+#include "peridotwheel/support/event_loop.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace peridotwheel {
+
+/// Writes the last state of claims in the background, until the platform has taken it.
+///
+/// It only changes a record that still carries the nonce of the try that hands it over, in state
+/// `Claimed` or `Sent`, and always by conditional update.
+class claim_settler
+{
+public:
+    claim_settler(event_loop &loop, platform_client &platform, claim_options options);
+    claim_settler(const claim_settler &) = delete;
+    claim_settler &operator=(const claim_settler &) = delete;
+
+    /// Brings the record of \p id to \p last, whose nonce says which try it belongs to. \p version
+    /// is the version last seen, if known.
+    void settle(const request_id &id, claim_record last, std::optional<object_version> version);
+
+    /// Records not settled yet; a graceful shutdown waits for 0.
+    std::size_t pending() const { return m_entries.size(); }
+
+private:
+    struct entry
+    {
+        request_id id;
+        claim_record last;
+        std::optional<object_version> version;
+        duration delay{};
+        timer retry;
+    };
+    using serial = std::uint64_t;
+
+    void step(serial s);
+    void read(serial s);
+    void write(serial s);
+    void onRead(serial s, const result<platform_object> &r);
+    void onWritten(serial s, const result<object_version> &r);
+    void retryLater(serial s);
+
+    event_loop &m_loop;
+    platform_client &m_platform;
+    claim_options m_options;
+    std::map<serial, entry> m_entries;
+    serial m_nextSerial = 0;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace peridotwheel
+
+#endif
--- /dev/null
+++ b/include/peridotwheel/claims/claim_sweeper.h
@@ -0,0 +1,51 @@
+#ifndef PERIDOTWHEEL_CLAIMS_CLAIM_SWEEPER_H
+#define PERIDOTWHEEL_CLAIMS_CLAIM_SWEEPER_H
+
+#include "peridotwheel/claims/claim_options.h"
+#include "peridotwheel/platform/platform_client.h"
+#include "peridotwheel/support/event_loop.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+
+namespace peridotwheel {
+
+/// Removes claims older than the retention, slowly.
+///
+/// A sweep lists all claims, so one instance of the fleet should do it: \p mayStart is asked before
+/// each sweep. Two sweepers at once are safe, since each removal names the version seen.
+class claim_sweeper
+{
+public:
+    claim_sweeper(event_loop &loop, platform_client &platform, claim_options options,
+                  std::function<bool()> mayStart);
+    claim_sweeper(const claim_sweeper &) = delete;
+    claim_sweeper &operator=(const claim_sweeper &) = delete;
+
+    void start();
+
+private:
+    struct victim
+    {
+        object_key key;
+        object_version version;
+    };
+
+    void wait();
+    void sweep();
+    void onList(const result<watch_result> &r);
+    void removeNext();
+
+    event_loop &m_loop;
+    platform_client &m_platform;
+    claim_options m_options;
+    std::function<bool()> m_mayStart;
+    std::deque<victim> m_victims;
+    timer m_timer;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace peridotwheel
+
+#endif
--- /dev/null
+++ b/lib/claims/claim_protocol.cpp
@@ -0,0 +1,303 @@
+#include "peridotwheel/claims/claim_protocol.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace peridotwheel {
+
+namespace {
+
+constexpr duration refusedRetryAfter = seconds(2);
+
+/// True only if nothing in the answer contradicts that the request did not run.
+bool certainlyNotRun(const query_answer &answer)
+{
+    return answer.ran == ran_state::No && answer.results.empty() && answer.covered.answered == 0;
+}
+
+claim_state stateFor(const query_answer &answer)
+{
+    const bool complete =
+            answer.kind == answer_kind::Complete || answer.kind == answer_kind::Partial;
+    return complete ? claim_state::Done : claim_state::Failed;
+}
+
+query_answer outcomeUnknown(std::string detail)
+{
+    query_answer answer;
+    answer.kind = answer_kind::OutcomeUnknown;
+    answer.ran = ran_state::Unknown;
+    answer.detail = std::move(detail);
+    return answer;
+}
+
+} // namespace
+
+claim_protocol::claim_protocol(event_loop &loop, platform_client &platform, claim_settler &settler,
+                               const claim_options &options, parameters p)
+    : m_loop(loop)
+    , m_platform(platform)
+    , m_settler(settler)
+    , m_options(options)
+    , m_p(std::move(p))
+    , m_claimWritten(loop.now())
+{
+}
+
+void claim_protocol::start()
+{
+    m_deadline = m_loop.schedule(m_p.deadline - m_loop.now(), [this] {
+        if (!m_ran && !m_finished)
+            refuse("the deadline passed before the claim was confirmed");
+    });
+    // Creating without reading first saves a call: most requests are not resends.
+    claim(write_condition::absent());
+}
+
+bool claim_protocol::spendCall()
+{
+    if (m_calls++ < m_options.maxCalls)
+        return true;
+    refuse("the claim could not be settled against other tries");
+    return false;
+}
+
+void claim_protocol::claim(write_condition condition)
+{
+    m_claimMayExist = true;
+    m_claimWritten = m_loop.now();
+    m_claimedAt = m_loop.wallNow();
+    claim_record record;
+    record.nonce = m_p.nonce;
+    record.instance = m_p.self;
+    record.claimedAt = m_claimedAt;
+    write(std::move(record), condition);
+}
+
+void claim_protocol::write(claim_record record, write_condition condition)
+{
+    if (!spendCall())
+        return;
+    record.changedAt = m_loop.wallNow();
+    const std::string value = toJson(record);
+    std::weak_ptr<bool> alive = m_alive;
+    m_platform.put(claimKey(m_p.id), value, condition,
+                   [this, alive, record = std::move(record)](result<object_version> r) {
+                       if (!alive.expired() && !m_finished)
+                           onWritten(record, r);
+                   });
+}
+
+void claim_protocol::onWritten(const claim_record &record, const result<object_version> &r)
+{
+    if (r) {
+        evaluate({record, r.value()});
+        return;
+    }
+    if (r.error().kind == error_kind::Unavailable) {
+        refuse("the platform cannot be reached: " + r.error().message);
+        return;
+    }
+    if (r.error().kind == error_kind::Conflict)
+        m_knowledge = knowledge::OtherHolder;
+    readBack();
+}
+
+void claim_protocol::readBack()
+{
+    if (!spendCall())
+        return;
+    std::weak_ptr<bool> alive = m_alive;
+    m_platform.get(claimKey(m_p.id), [this, alive](result<platform_object> r) {
+        if (!alive.expired() && !m_finished)
+            onRead(r);
+    });
+}
+
+void claim_protocol::retryReadBack()
+{
+    m_delay = m_loop.schedule(m_options.readBackDelay, [this] {
+        if (!m_finished)
+            readBack();
+    });
+}
+
+void claim_protocol::onRead(const result<platform_object> &r)
+{
+    if (!r && r.error().kind == error_kind::NotFound) {
+        m_knowledge = knowledge::Nothing;
+        claim(write_condition::absent());
+        return;
+    }
+    if (!r) {
+        retryReadBack();
+        return;
+    }
+    const auto record = claimRecordFromJson(r.value().value);
+    if (!record) {
+        finish(outcomeUnknown(record.error().message));
+        return;
+    }
+    evaluate({record.value(), r.value().version});
+}
+
+void claim_protocol::evaluate(const seen_record &seen)
+{
+    if (seen.record.state == claim_state::Released) {
+        m_knowledge = knowledge::Nothing;
+        claim(write_condition::at(seen.version));
+        return;
+    }
+    if (!mine(seen.record)) {
+        evaluateOther(seen);
+        return;
+    }
+    m_knowledge = knowledge::OwnClaim;
+    if (seen.record.state == claim_state::Sent) {
+        runOnce(seen);
+        return;
+    }
+    assert(seen.record.state == claim_state::Claimed && "only a run of this try writes its end");
+    claim_record sent = seen.record;
+    sent.state = claim_state::Sent;
+    write(std::move(sent), write_condition::at(seen.version));
+}
+
+void claim_protocol::evaluateOther(const seen_record &seen)
+{
+    m_knowledge = knowledge::OtherHolder;
+    const auto &record = seen.record;
+    if (record.answer) {
+        finish(*record.answer);
+        return;
+    }
+    if (record.state == claim_state::Sent) {
+        const duration left = m_options.inProgressFor - ageOf(record.changedAt);
+        if (left > duration::zero()) {
+            answerInProgress(record, left);
+            return;
+        }
+        finish(outcomeUnknown("an earlier try was sent and its outcome was never recorded"));
+        return;
+    }
+    if (record.state != claim_state::Claimed) {
+        finish(outcomeUnknown("an earlier try ended without a stored answer"));
+        return;
+    }
+    const duration left = m_options.patience - ageOf(record.changedAt);
+    if (left > duration::zero()) {
+        answerInProgress(record, left);
+        return;
+    }
+    claim_record released = record;
+    released.state = claim_state::Released;
+    write(std::move(released), write_condition::at(seen.version));
+}
+
+void claim_protocol::runOnce(const seen_record &seen)
+{
+    assert(!m_ran && "a try runs its request once");
+    // The process may have been paused since the update was written.
+    if (m_loop.now() >= m_p.deadline) {
+        releaseInBackground(seen.version);
+        query_answer answer;
+        answer.kind = answer_kind::Expired;
+        answer.detail = "the deadline passed before the request was sent; it did not run";
+        finish(std::move(answer));
+        return;
+    }
+    m_ran = true;
+    m_deadline.cancel();
+    std::weak_ptr<bool> alive = m_alive;
+    m_p.run([this, alive, seen](query_answer answer) {
+        if (!alive.expired())
+            onRun(seen, std::move(answer));
+    });
+}
+
+void claim_protocol::onRun(const seen_record &seen, query_answer answer)
+{
+    if (certainlyNotRun(answer)) {
+        releaseInBackground(seen.version);
+        finish(std::move(answer));
+        return;
+    }
+    if (answer.ran != ran_state::Yes) {
+        // The record stays `sent`, so that no other try can run the request.
+        answer.kind = answer_kind::OutcomeUnknown;
+        answer.ran = ran_state::Unknown;
+        finish(std::move(answer));
+        return;
+    }
+    claim_record last = seen.record;
+    last.state = stateFor(answer);
+    last.answer = answer;
+    m_settler.settle(m_p.id, std::move(last), seen.version);
+    finish(std::move(answer));
+}
+
+ran_state claim_protocol::refusalState() const
+{
+    if (m_knowledge == knowledge::OtherHolder || m_p.mayHaveRunHere())
+        return ran_state::Unknown;
+    if (m_knowledge == knowledge::OwnClaim) {
+        // After this time another instance may have taken over the claim and run the request.
+        const bool held = m_loop.now() - m_claimWritten < m_options.patience / 2;
+        return held ? ran_state::No : ran_state::Unknown;
+    }
+    return ageOf(m_p.issuedAt) > m_options.resendAge ? ran_state::Unknown : ran_state::No;
+}
+
+duration claim_protocol::ageOf(wall_time t) const
+{
+    return m_loop.wallNow() - t;
+}
+
+void claim_protocol::refuse(const std::string &why)
+{
+    const ran_state ran = refusalState();
+    if (m_claimMayExist)
+        releaseInBackground(std::nullopt);
+    if (ran == ran_state::Unknown) {
+        finish(outcomeUnknown("this try did not run, but an earlier one may have: " + why));
+        return;
+    }
+    query_answer answer;
+    answer.kind = answer_kind::RefusedClaim;
+    answer.retryAfter = refusedRetryAfter;
+    answer.detail = "not run and will not run: " + why + "; send it again with the same id";
+    finish(std::move(answer));
+}
+
+void claim_protocol::answerInProgress(const claim_record &record, duration wait)
+{
+    query_answer answer;
+    answer.kind = answer_kind::InProgress;
+    answer.ran = ran_state::Unknown;
+    answer.retryAfter = std::min(wait, refusedRetryAfter);
+    answer.detail = "instance " + record.instance.value() + " holds this request id, state " +
+                    toString(record.state);
+    finish(std::move(answer));
+}
+
+void claim_protocol::finish(query_answer answer)
+{
+    m_finished = true;
+    m_deadline.cancel();
+    m_delay.cancel();
+    // The hook may destroy this object.
+    const answer_hook done = std::move(m_p.done);
+    done(std::move(answer));
+}
+
+void claim_protocol::releaseInBackground(std::optional<object_version> version)
+{
+    claim_record released;
+    released.state = claim_state::Released;
+    released.nonce = m_p.nonce;
+    released.instance = m_p.self;
+    released.claimedAt = m_claimedAt;
+    m_settler.settle(m_p.id, std::move(released), version);
+}
+
+} // namespace peridotwheel
--- /dev/null
+++ b/lib/claims/claim_settler.cpp
@@ -0,0 +1,105 @@
+#include "peridotwheel/claims/claim_settler.h"
+
+#include <algorithm>
+
+namespace peridotwheel {
+
+claim_settler::claim_settler(event_loop &loop, platform_client &platform, claim_options options)
+    : m_loop(loop)
+    , m_platform(platform)
+    , m_options(options)
+{
+}
+
+void claim_settler::settle(const request_id &id, claim_record last,
+                           std::optional<object_version> version)
+{
+    if (m_entries.size() >= m_options.maxSettling)
+        m_entries.erase(m_entries.begin());
+    const serial s = m_nextSerial++;
+    entry &e = m_entries[s];
+    e.id = id;
+    e.last = std::move(last);
+    e.version = version;
+    e.delay = m_options.firstSettleDelay;
+    step(s);
+}
+
+void claim_settler::step(serial s)
+{
+    const auto it = m_entries.find(s);
+    if (it == m_entries.end())
+        return;
+    if (it->second.version) {
+        write(s);
+        return;
+    }
+    read(s);
+}
+
+void claim_settler::read(serial s)
+{
+    std::weak_ptr<bool> alive = m_alive;
+    m_platform.get(claimKey(m_entries[s].id), [this, alive, s](result<platform_object> r) {
+        if (!alive.expired())
+            onRead(s, r);
+    });
+}
+
+void claim_settler::write(serial s)
+{
+    std::weak_ptr<bool> alive = m_alive;
+    entry &e = m_entries[s];
+    e.last.changedAt = m_loop.wallNow();
+    m_platform.put(claimKey(e.id), toJson(e.last), write_condition::at(*e.version),
+                   [this, alive, s](result<object_version> r) {
+                       if (!alive.expired())
+                           onWritten(s, r);
+                   });
+}
+
+void claim_settler::onRead(serial s, const result<platform_object> &r)
+{
+    const auto it = m_entries.find(s);
+    if (it == m_entries.end())
+        return;
+    if (!r && r.error().kind != error_kind::NotFound) {
+        retryLater(s);
+        return;
+    }
+    const auto record = r ? claimRecordFromJson(r.value().value)
+                          : result<claim_record>(failure(error_kind::NotFound, ""));
+    const bool open = record && record.value().nonce == it->second.last.nonce &&
+                      (record.value().state == claim_state::Claimed ||
+                       record.value().state == claim_state::Sent);
+    if (!open) {
+        m_entries.erase(it);
+        return;
+    }
+    it->second.version = r.value().version;
+    write(s);
+}
+
+void claim_settler::onWritten(serial s, const result<object_version> &r)
+{
+    const auto it = m_entries.find(s);
+    if (it == m_entries.end())
+        return;
+    if (r) {
+        m_entries.erase(it);
+        return;
+    }
+    // `Unavailable` is certainly without effect; after the others the present version is unknown.
+    if (r.error().kind != error_kind::Unavailable)
+        it->second.version.reset();
+    retryLater(s);
+}
+
+void claim_settler::retryLater(serial s)
+{
+    entry &e = m_entries[s];
+    e.retry = m_loop.schedule(e.delay, [this, s] { step(s); });
+    e.delay = std::min(2 * e.delay, m_options.lastSettleDelay);
+}
+
+} // namespace peridotwheel
--- /dev/null
+++ b/unittests/claims/claim_interleaving_test.cpp
@@ -0,0 +1,240 @@
+#include "claims/claim_world.h"
+
+#include <gtest/gtest.h>
+#include <optional>
+#include <variant>
+
+using namespace peridotwheel;
+using namespace peridotwheel::test;
+
+namespace {
+
+/// Replays a sequence of choices and then moves to the next one, in depth-first order.
+class choice_tree
+{
+public:
+    std::size_t pick(std::size_t options)
+    {
+        if (m_depth == m_path.size())
+            m_path.push_back({0, options});
+        return m_path[m_depth++].first;
+    }
+
+    bool next()
+    {
+        m_depth = 0;
+        while (!m_path.empty() && m_path.back().first + 1 == m_path.back().second)
+            m_path.pop_back();
+        if (m_path.empty())
+            return false;
+        ++m_path.back().first;
+        return true;
+    }
+
+private:
+    std::vector<std::pair<std::size_t, std::size_t>> m_path;
+    std::size_t m_depth = 0;
+};
+
+using chooser = std::function<std::size_t(std::size_t)>;
+
+/// How many disturbances one run may contain.
+struct budget
+{
+    int faults;
+    int pauses;
+    int restarts;
+    /// Whether the server may lose replies and refuse; otherwise it runs everything.
+    bool serverFaults;
+};
+
+/// Two instances, one request, and a resend of it at the second instance.
+class interleaving
+{
+public:
+    interleaving(chooser choose, budget left)
+        : m_choose(std::move(choose))
+        , m_left(left)
+    {
+        for (int i = 0; i < 2; ++i) {
+            m_instances.push_back(std::make_unique<fake_instance>(
+                    m_store, i, [this] { return serverFate(); }, m_executions));
+        }
+    }
+
+    void play()
+    {
+        send(0);
+        while (!quiet())
+            step();
+        // Lets timers run, with a working platform.
+        for (int round = 0; round < 400 && !settled(); ++round) {
+            advance(milliseconds(100));
+            while (!m_store.calls.empty()) {
+                m_store.decide(0, call_fate::Ok);
+                advance(duration::zero());
+            }
+        }
+        EXPECT_TRUE(settled());
+        EXPECT_LE(m_executions, 1);
+        for (const auto &ran : m_answers) {
+            const bool saysYes = ran && *ran == ran_state::Yes;
+            EXPECT_TRUE(!saysYes || m_executions == 1);
+        }
+    }
+
+private:
+    using action = std::function<void()>;
+
+    void send(int to)
+    {
+        m_sent[to] = true;
+        auto &instance = *m_instances[to];
+        // Every try names the time of issue of the first.
+        instance.executor->run(booking(m_issuedAt, instance.loop.now() + seconds(30)),
+                               [this, to](const query_answer &answer) { onAnswer(to, answer); });
+    }
+
+    void onAnswer(int from, const query_answer &answer)
+    {
+        EXPECT_FALSE(m_answers[from]) << "answered twice";
+        m_answers[from] = answer.ran;
+        const bool saysNo = answer.ran == ran_state::No;
+        EXPECT_FALSE(saysNo && m_executions != 0) << "reported as not run: " << answer.detail;
+    }
+
+    server_fate serverFate()
+    {
+        if (!m_left.serverFaults)
+            return server_fate::Runs;
+        return static_cast<server_fate>(m_choose(3));
+    }
+
+    bool quiet() const { return m_sent[1] && m_store.calls.empty(); }
+
+    bool settled() const
+    {
+        const bool answered = (m_answers[0] || m_lost[0]) && (m_answers[1] || m_lost[1]);
+        return answered && m_store.calls.empty() &&
+               m_instances[0]->executor->pendingRecords() == 0 &&
+               m_instances[1]->executor->pendingRecords() == 0;
+    }
+
+    void advance(duration d)
+    {
+        for (auto &instance : m_instances)
+            instance->loop.advance(d);
+    }
+
+    void step()
+    {
+        std::vector<action> actions;
+        for (std::size_t i = 0; i < m_store.calls.size(); ++i)
+            addFates(i, actions);
+        if (!m_sent[1]) {
+            actions.emplace_back([this] {
+                advance(seconds(4));
+                send(1);
+            });
+        }
+        addDisturbances(actions);
+        actions[m_choose(actions.size())]();
+        advance(duration::zero());
+    }
+
+    void addFates(std::size_t call, std::vector<action> &actions)
+    {
+        actions.emplace_back([this, call] { m_store.decide(call, call_fate::Ok); });
+        if (m_left.faults == 0)
+            return;
+        const auto add = [&](call_fate fate) {
+            actions.emplace_back([this, call, fate] {
+                --m_left.faults;
+                m_store.decide(call, fate);
+            });
+        };
+        add(call_fate::Unavailable);
+        if (!m_store.calls[call].write)
+            return;
+        for (const auto fate : {call_fate::LostAfter, call_fate::LostBefore, call_fate::Late})
+            add(fate);
+    }
+
+    void addDisturbances(std::vector<action> &actions)
+    {
+        for (std::size_t i = 0; i < m_store.lateEffects.size(); ++i) {
+            actions.emplace_back([this, i] {
+                const auto effect = m_store.lateEffects[i];
+                m_store.lateEffects.erase(m_store.lateEffects.begin() +
+                                          static_cast<std::ptrdiff_t>(i));
+                effect();
+            });
+        }
+        if (m_left.pauses > 0) {
+            actions.emplace_back([this] {
+                --m_left.pauses;
+                advance(seconds(11));
+            });
+        }
+        if (m_left.restarts > 0) {
+            actions.emplace_back([this] {
+                --m_left.restarts;
+                m_lost[0] = !m_answers[0];
+                m_instances[0]->restart();
+            });
+        }
+    }
+
+    chooser m_choose;
+    budget m_left;
+    fake_store m_store;
+    int m_executions = 0;
+    std::vector<std::unique_ptr<fake_instance>> m_instances;
+    wall_time m_issuedAt = manual_loop().wallNow();
+    bool m_sent[2] = {false, false};
+    bool m_lost[2] = {false, false};
+    std::optional<ran_state> m_answers[2];
+};
+
+int enumerateAll(budget limits)
+{
+    choice_tree tree;
+    int runs = 0;
+    do {
+        interleaving world([&](std::size_t n) { return tree.pick(n); }, limits);
+        world.play();
+        ++runs;
+    } while (!testing::Test::HasFailure() && tree.next());
+    return runs;
+}
+
+} // namespace
+
+// Each test guards against a second run and against "not run" for a request that ran.
+
+TEST(claimInterleaving, everyOrderOfAResendWithAPauseAndARestart)
+{
+    std::cout << "runs " << enumerateAll({0, 1, 1, false}) << "\n";
+}
+
+TEST(claimInterleaving, oneLostOrRefusedPlatformCallAtEveryStep)
+{
+    std::cout << "runs " << enumerateAll({1, 1, 0, false}) << "\n";
+}
+
+TEST(claimInterleaving, everyFateOfTheServerRequest)
+{
+    std::cout << "runs " << enumerateAll({0, 1, 0, true}) << "\n";
+}
+
+TEST(claimInterleaving, randomRunsWithManyDisturbances)
+{
+    constexpr std::uint64_t seed = 20261204;
+    constexpr int runs = 20000;
+    std::cout << "seed " << seed << "\n";
+    random_source random(seed);
+    for (int run = 0; run < runs && !HasFailure(); ++run) {
+        interleaving world([&](std::size_t n) { return random.below(n); }, {5, 2, 1, true});
+        world.play();
+    }
+}
--- /dev/null
+++ b/unittests/claims/claim_world.h
@@ -0,0 +1,221 @@
+#ifndef PERIDOTWHEEL_UNITTESTS_CLAIMS_CLAIM_WORLD_H
+#define PERIDOTWHEEL_UNITTESTS_CLAIMS_CLAIM_WORLD_H
+
+#include "peridotwheel/claims/claiming_executor.h"
+#include "peridotwheel/support/manual_loop.h"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace peridotwheel::test {
+
+enum class call_fate {
+    Ok,
+    LostAfter,   ///< Takes effect, the reply is lost.
+    LostBefore,  ///< No effect, the writer cannot tell.
+    Late,        ///< The reply is lost, the effect comes later.
+    Unavailable, ///< Certainly no effect.
+};
+
+/// One platform call that the test has not decided upon yet.
+struct pending_call
+{
+    int instance;
+    bool write;
+    std::function<void(call_fate)> decide;
+};
+
+/// An object store whose calls wait until the test decides their fate.
+class fake_store
+{
+public:
+    std::map<std::string, platform_object> objects;
+    std::vector<pending_call> calls;
+    std::vector<std::function<void()>> lateEffects;
+
+    void decide(std::size_t index, call_fate fate)
+    {
+        const pending_call call = calls[index];
+        calls.erase(calls.begin() + static_cast<std::ptrdiff_t>(index));
+        call.decide(fate);
+    }
+
+    result<object_version> write(const object_key &key, const std::string &value,
+                                 write_condition condition)
+    {
+        const auto it = objects.find(key.name);
+        const bool matches =
+                condition.version ? it != objects.end() && it->second.version == *condition.version
+                                  : it == objects.end();
+        if (!matches)
+            return failure(error_kind::Conflict, "changed");
+        objects[key.name] = {key, object_version(++m_revision), value};
+        return object_version(m_revision);
+    }
+
+private:
+    std::uint64_t m_revision = 0;
+};
+
+class fake_client : public platform_client
+{
+public:
+    fake_client(fake_store &store, int instance)
+        : m_store(store)
+        , m_instance(instance)
+    {
+    }
+
+    void get(const object_key &key, hook<platform_object> done) override
+    {
+        m_store.calls.push_back({m_instance, false, [this, key, done](call_fate fate) {
+                                     if (fate != call_fate::Ok) {
+                                         done(failure(error_kind::TimedOut, "no reply"));
+                                         return;
+                                     }
+                                     const auto it = m_store.objects.find(key.name);
+                                     if (it == m_store.objects.end()) {
+                                         done(failure(error_kind::NotFound, "absent"));
+                                         return;
+                                     }
+                                     done(platform_object(it->second));
+                                 }});
+    }
+
+    void put(const object_key &key, const std::string &value, write_condition condition,
+             hook<object_version> done) override
+    {
+        m_store.calls.push_back(
+                {m_instance, true, [this, key, value, condition, done](call_fate fate) {
+                     if (fate == call_fate::Unavailable) {
+                         done(failure(error_kind::Unavailable, "connection refused"));
+                         return;
+                     }
+                     const auto effect = [this, key, value, condition] {
+                         return m_store.write(key, value, condition);
+                     };
+                     if (fate == call_fate::Late)
+                         m_store.lateEffects.emplace_back([effect] { (void)effect(); });
+                     if (fate == call_fate::Late || fate == call_fate::LostBefore) {
+                         done(failure(error_kind::OutcomeUnknown, "reply lost"));
+                         return;
+                     }
+                     const auto written = effect();
+                     if (fate == call_fate::LostAfter) {
+                         done(failure(error_kind::OutcomeUnknown, "reply lost"));
+                         return;
+                     }
+                     done(written);
+                 }});
+    }
+
+    void remove(const object_key &key, object_version version, hook<void> done) override
+    {
+        const auto it = m_store.objects.find(key.name);
+        if (it == m_store.objects.end() || it->second.version != version) {
+            done(failure(error_kind::Conflict, "changed"));
+            return;
+        }
+        m_store.objects.erase(it);
+        done(success());
+    }
+
+    void list(const std::string &, hook<watch_result> done) override
+    {
+        watch_result all;
+        for (const auto &[name, object] : m_store.objects)
+            all.changed.push_back(object);
+        done(all);
+    }
+    void watch(const std::string &, object_version, duration, hook<watch_result>) override {}
+    void instances(hook<instance_list>) override {}
+
+private:
+    fake_store &m_store;
+    int m_instance;
+};
+
+enum class server_fate {
+    Runs,     ///< Executes and answers.
+    RunsMute, ///< Executes, the reply is lost.
+    Refuses,  ///< Certainly does not execute.
+};
+
+/// Executes requests at once and answers when the loop runs.
+class fake_server : public query_executor
+{
+public:
+    fake_server(event_loop &loop, std::function<server_fate()> fate, int &executions)
+        : m_loop(loop)
+        , m_fate(std::move(fate))
+        , m_executions(executions)
+    {
+    }
+
+    void run(query_request, answer_hook done) override
+    {
+        const server_fate fate = m_fate();
+        query_answer answer;
+        if (fate != server_fate::Refuses)
+            ++m_executions;
+        if (fate == server_fate::Runs) {
+            answer.kind = answer_kind::Complete;
+            answer.ran = ran_state::Yes;
+            answer.detail = "booked";
+        }
+        if (fate == server_fate::RunsMute)
+            answer.ran = ran_state::Unknown;
+        m_loop.post([done, answer] { done(answer); });
+    }
+
+private:
+    event_loop &m_loop;
+    std::function<server_fate()> m_fate;
+    int &m_executions;
+};
+
+/// One instance with its own clock; restarting it forgets everything but the store.
+class fake_instance
+{
+public:
+    fake_instance(fake_store &store, int number, std::function<server_fate()> fate, int &executions)
+        : m_client(store, number)
+        , m_server(loop, std::move(fate), executions)
+        , m_number(number)
+        , m_random(static_cast<std::uint64_t>(number))
+    {
+        restart();
+    }
+
+    void restart()
+    {
+        executor.reset();
+        executor = std::make_unique<claiming_executor>(loop, m_client, m_server,
+                                                       instance_id("i" + std::to_string(m_number)),
+                                                       m_random, event_sink());
+    }
+
+    manual_loop loop;
+    std::unique_ptr<claiming_executor> executor;
+
+private:
+    fake_client m_client;
+    fake_server m_server;
+    int m_number;
+    random_source m_random;
+};
+
+inline query_request booking(wall_time issuedAt, time_point deadline)
+{
+    query_request request;
+    request.id = request_id("booking-17");
+    request.repeatable = false;
+    request.issuedAt = issuedAt;
+    request.deadline = deadline;
+    return request;
+}
+
+} // namespace peridotwheel::test
+
+#endif
