--- a/include/peridotwheel/ctl/fleet_client.h
+++ b/include/peridotwheel/ctl/fleet_client.h
@@ -23,7 +23,8 @@
     std::string problem;
 };
 
-/// Blocking access to the platform and to every instance of the fleet, for a command that runs once.
+/// Blocking access to the platform and to every instance of the fleet, for a command that runs
+/// once.
 ///
 /// Instances come from the platform's list, so operators name none. All pages are fetched at the
 /// same time; an instance that does not answer is reported and does not delay the others beyond the
--- /dev/null
+++ b/lib/drain/drain_controller.cpp
@@ -0,0 +1,68 @@
+#include "peridotwheel/drain/drain_controller.h"
+
+#include <algorithm>
+
+namespace peridotwheel {
+
+namespace {
+
+constexpr duration pollInterval = milliseconds(20);
+
+} // namespace
+
+drain_controller::drain_controller(event_loop &loop, blackboard &board, drain_hooks hooks,
+                                   event_sink events, drain_options options)
+    : m_loop(loop)
+    , m_board(board)
+    , m_hooks(std::move(hooks))
+    , m_events(std::move(events))
+    , m_options(options)
+{
+}
+
+void drain_controller::beginServing()
+{
+    setPhase(lifecycle_phase::Serving, "serving");
+}
+
+void drain_controller::shutDown(std::function<void()> done)
+{
+    if (m_done)
+        return;
+    m_done = std::move(done);
+    m_latest = m_loop.now() + m_options.bound;
+    setPhase(lifecycle_phase::Draining, "draining");
+    m_hooks.announceLeaving();
+    const duration grace = std::min(m_options.grace, m_options.bound);
+    m_step = m_loop.schedule(grace, [this] { stopAccepting(); });
+}
+
+void drain_controller::stopAccepting()
+{
+    m_hooks.stopListening();
+    waitForRequests();
+}
+
+void drain_controller::waitForRequests()
+{
+    const std::size_t open = m_hooks.inProgress();
+    const bool late = m_loop.now() >= m_latest;
+    if (open != 0 && !late) {
+        m_step = m_loop.schedule(pollInterval, [this] { waitForRequests(); });
+        return;
+    }
+    setPhase(lifecycle_phase::Stopped,
+             open == 0 ? "stopped, all requests ended" : "stopped at the bound, requests cut off");
+    m_done();
+}
+
+void drain_controller::setPhase(lifecycle_phase phase, const char *text)
+{
+    m_board.phase.set({phase});
+    timeline_event e;
+    e.kind = event_kind::Lifecycle;
+    e.text = text;
+    m_events(std::move(e));
+}
+
+} // namespace peridotwheel
--- /dev/null
+++ b/lib/entry/entry_instance.cpp
@@ -0,0 +1,260 @@
+#include "peridotwheel/entry/entry_instance.h"
+
+#include "peridotwheel/claims/claim_sweeper.h"
+#include "peridotwheel/claims/claiming_executor.h"
+#include "peridotwheel/drain/drain_controller.h"
+#include "peridotwheel/entry/caller_service.h"
+#include "peridotwheel/entry/operator_service.h"
+#include "peridotwheel/http/evhttp_connector.h"
+#include "peridotwheel/http/http_client.h"
+#include "peridotwheel/http/http_server.h"
+#include "peridotwheel/limits/admission_controller.h"
+#include "peridotwheel/platform/http_platform_client.h"
+#include "peridotwheel/platform/platform_health_tracker.h"
+#include "peridotwheel/platform/watcher_election.h"
+#include "peridotwheel/support/libevent_loop.h"
+#include "peridotwheel/support/log.h"
+#include "peridotwheel/timeline/event_ring.h"
+
+namespace peridotwheel {
+
+namespace {
+
+/// Platform, peers and backend servers draw their own streams of random numbers, so that a change
+/// in one does not shift the others.
+enum seed_offset : std::uint64_t { EngineSeed = 1, AdmissionSeed, ControlSeed, ClaimSeed, IdSeed };
+
+http_platform_options platformOptions(const settings &s)
+{
+    http_platform_options options;
+    options.platform = s.platform;
+    options.dataCentre = s.dataCentre;
+    return options;
+}
+
+http_server_limits callerLimits(const settings &s)
+{
+    http_server_limits limits;
+    limits.maxBodyBytes = s.maxBodyBytes;
+    limits.maxConnections = s.maxConnections;
+    return limits;
+}
+
+http_server_limits peerLimits()
+{
+    http_server_limits limits;
+    limits.maxBodyBytes = maxPeerBodyBytes;
+    return limits;
+}
+
+http_server_limits operatorLimits()
+{
+    http_server_limits limits;
+    limits.maxBodyBytes = 1024;
+    limits.maxConnections = 64;
+    return limits;
+}
+
+/// The status page shows a stored claim as a resend of the request would be answered.
+std::optional<query_answer> answerFrom(const claim_view &view)
+{
+    if (view.from == claim_view::source::Unreachable || !view.record)
+        return std::nullopt;
+    if (view.record->answer)
+        return view.record->answer;
+    query_answer answer;
+    answer.ran = view.ran;
+    answer.detail = view.text;
+    switch (view.record->state) {
+    case claim_state::Released:
+        answer.kind = answer_kind::RefusedClaim;
+        break;
+    case claim_state::Claimed:
+    case claim_state::Sent:
+        answer.kind = answer_kind::InProgress;
+        break;
+    case claim_state::Done:
+        answer.kind = answer_kind::Complete;
+        break;
+    case claim_state::Failed:
+        answer.kind = answer_kind::OutcomeUnknown;
+        break;
+    }
+    return answer;
+}
+
+} // namespace
+
+/// The components in the order of their dependencies; destroyed in the opposite order.
+struct entry_instance::parts
+{
+    parts(libevent_loop &loop, const settings &s, const entry_options &options);
+
+    endpoint bound(const http_server &server, const endpoint &configured) const
+    {
+        return {configured.address, server.boundPort()};
+    }
+
+    blackboard board;
+    counter_set counters;
+    event_ring events;
+    random_source claimRandom;
+    evhttp_connector connector;
+    pooled_http_client http;
+    http_platform_client platform;
+    platform_health_tracker health;
+    query_engine engine;
+    admission_controller admission;
+    claiming_executor claiming;
+    claim_lookup claimLookup;
+    caller_service callers;
+    http_server callerServer;
+    drain_controller drain;
+
+    // Known once the listeners are open, since their ports go into the instance's own record.
+    std::unique_ptr<control_plane> control;
+    std::unique_ptr<operator_service> operators;
+    std::unique_ptr<claim_sweeper> sweeper;
+    std::unique_ptr<http_server> peerServer;
+    std::unique_ptr<http_server> operatorServer;
+};
+
+entry_instance::parts::parts(libevent_loop &loop, const settings &s, const entry_options &o)
+    : events(loop, o.timelineCapacity)
+    , claimRandom(o.seed + ClaimSeed)
+    , connector(loop)
+    , http(connector)
+    , platform(http, platformOptions(s))
+    , health(loop, board, events.sink())
+    , engine(loop, board, connector, counters, events.sink(), o.seed + EngineSeed, s.id,
+             s.dataCentre, o.engine)
+    , admission(loop, board, engine,
+                {[this] { return engine.concurrencyLimit(); },
+                 [this] { return engine.expectedServiceTime(); }},
+                counters, events.sink(), o.seed + AdmissionSeed, o.admission)
+    , claiming(loop, platform, admission, s.id, claimRandom, events.sink(), o.claims)
+    , claimLookup(platform)
+    , callers(loop, board, claiming,
+              {[this](const request_id &id, auto done) {
+                   claimLookup.lookUp(id, [done](const claim_view &v) { done(answerFrom(v)); });
+               },
+               [this](const class_name &name) { return admission.loadOf(name); },
+               [this] { return admission.totalLoad(); }},
+              counters, events.sink(), {s.id, o.seed + IdSeed, {}})
+    , callerServer(loop, callerLimits(s),
+                   [this](const http_request &request, std::shared_ptr<http_responder> out) {
+                       callers.handle(request, std::move(out));
+                   })
+    , drain(loop, board,
+            {[this] { return callers.inProgress() + claiming.pendingRecords(); },
+             [this] {
+                 if (control)
+                     control->announceLeaving();
+             },
+             [this] { callerServer.stopListening(); }},
+            events.sink(), {o.drainGrace, s.shutdown})
+{
+    platform.setHealthHook([this](bool answered) { health.note(answered); });
+}
+
+entry_instance::entry_instance(libevent_loop &loop, settings s, entry_options options)
+    : m_loop(loop)
+    , m_settings(std::move(s))
+    , m_options(std::move(options))
+    , m_parts(std::make_unique<parts>(loop, m_settings, m_options))
+{
+}
+
+entry_instance::~entry_instance() = default;
+
+result<void> entry_instance::start()
+{
+    parts &p = *m_parts;
+    p.peerServer = std::make_unique<http_server>(
+            m_loop, peerLimits(),
+            [&p](const http_request &request, std::shared_ptr<http_responder> out) {
+                p.control->peerHook()(request, std::move(out));
+            });
+    p.operatorServer = std::make_unique<http_server>(
+            m_loop, operatorLimits(),
+            [&p](const http_request &request, const std::shared_ptr<http_responder> &out) {
+                out->reply(p.operators->handle(request));
+            });
+    BOOST_OUTCOME_TRYV(p.callerServer.listen(m_settings.callers));
+    BOOST_OUTCOME_TRYV(p.peerServer->listen(m_settings.peers));
+    BOOST_OUTCOME_TRYV(p.operatorServer->listen(m_settings.operators));
+
+    member self;
+    self.id = m_settings.id;
+    self.start = m_options.start;
+    self.dataCentre = m_settings.dataCentre;
+    self.peers = peersAddress();
+    self.operators = operatorsAddress();
+    p.control = std::make_unique<control_plane>(m_loop, p.board, p.platform, p.http, p.counters,
+                                                p.events.sink(), m_options.seed + ControlSeed, self,
+                                                m_options.control);
+    p.operators = std::make_unique<operator_service>(p.board, p.counters, p.events, self);
+    p.engine.onServerLeaving = [&p](const server_id &id, start_id start) {
+        p.control->noteServerLeaving(id, start);
+    };
+    // One sweeper in each data centre, so that a data centre that is cut off does not stop them
+    // all.
+    p.sweeper = std::make_unique<claim_sweeper>(m_loop, p.platform, m_options.claims, [&p, self] {
+        return isWatcher(p.board.members.value(), self, "claims", 1);
+    });
+    p.control->start();
+    p.sweeper->start();
+    p.drain.beginServing();
+    LOG(INFO) << "event=started instance=" << logValue(self.id.value())
+              << " dataCentre=" << logValue(self.dataCentre.value())
+              << " callers=" << callersAddress().address << ":" << callersAddress().port;
+    return success();
+}
+
+void entry_instance::shutDown(std::function<void()> done)
+{
+    LOG(INFO) << "event=draining instance=" << logValue(m_settings.id.value());
+    m_parts->drain.shutDown([this, done = std::move(done)] {
+        finishShutDown();
+        done();
+    });
+}
+
+void entry_instance::finishShutDown()
+{
+    if (m_parts->control)
+        m_parts->control->withdraw();
+    LOG(INFO) << "event=stopped instance=" << logValue(m_settings.id.value());
+}
+
+bool entry_instance::ready() const
+{
+    return m_parts->callers.ready();
+}
+
+endpoint entry_instance::callersAddress() const
+{
+    return m_parts->bound(m_parts->callerServer, m_settings.callers);
+}
+
+endpoint entry_instance::peersAddress() const
+{
+    return m_parts->bound(*m_parts->peerServer, m_settings.peers);
+}
+
+endpoint entry_instance::operatorsAddress() const
+{
+    return m_parts->bound(*m_parts->operatorServer, m_settings.operators);
+}
+
+const blackboard &entry_instance::board() const
+{
+    return m_parts->board;
+}
+
+const counter_set &entry_instance::counters() const
+{
+    return m_parts->counters;
+}
+
+} // namespace peridotwheel
