--- a/include/peridotwheel/bench/class_tally.h
+++ b/include/peridotwheel/bench/class_tally.h
@@ -18,7 +18,7 @@
     bool answered = false;      ///< Carries results, complete or partial.
     bool refusedNotRun = false; ///< States that nothing ran.
     bool unknown = false;       ///< No reply, or one that does not say whether it ran.
-    double coverage = 0.0;      ///< Share of the shards, if answered.
+    double coverage = 0.0;      ///< Share of the shards.
 };
 
 /// Counts of one class over one run, and useful answers by time for the plots.
@@ -39,6 +39,7 @@
     /// \p sinceStart is the intended send time relative to the start of the run.
     void record(const class_spec &spec, duration sinceStart, const observed_reply &reply);
     void merge(const class_tally &other);
+    /// Over all requests but those refused as not run; one without an answer covers nothing.
     double meanCoverage() const;
     /// Share of the requests sent that were answered within target.
     double inTargetShare() const;
--- a/include/peridotwheel/bench/load_generator.h
+++ b/include/peridotwheel/bench/load_generator.h
@@ -8,6 +8,7 @@
 #include "peridotwheel/support/random_source.h"
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <string>
 #include <vector>
@@ -24,6 +25,9 @@
     bool repeatable = true;
     /// Plain service to ask; empty asks all sharded services.
     std::string service;
+    /// Share of the requests that are sent a second time, to another instance, shortly after, as a
+    /// balancer does when it believes that an instance has gone.
+    double resendShare = 0.0;
 };
 
 /// What a load run needs to know about the system under test.
@@ -41,7 +45,7 @@
 {
     class_tallies classes;
     violation_counts violations;
-    /// Ids of non-repeatable requests that were answered "not run".
+    /// Ids of non-repeatable requests of which any reply said "not run".
     std::vector<std::string> saidNotRun;
 };
 
@@ -68,7 +72,9 @@
     void sendDue(active_stream &stream);
     void scheduleNext(active_stream &stream);
     void sendOne(active_stream &stream, time_point intended);
+    void sendAgain(const sent_request &sent, const http_request &request, duration timeout);
     void finishOne(const sent_request &sent, const http_outcome &outcome);
+    void noteNotRun(const sent_request &sent, const observed_reply &seen);
     void checkDone();
 
     libevent_loop &m_loop;
@@ -83,6 +89,7 @@
     std::uint64_t m_nextId = 0;
     std::string m_idPrefix;
     std::size_t m_outstanding = 0;
+    std::list<timer> m_resends;
     std::size_t m_running = 0;
 };
 
--- a/include/peridotwheel/bench/local_cluster.h
+++ b/include/peridotwheel/bench/local_cluster.h
@@ -21,6 +21,8 @@
     std::uint32_t instances = 9;
     std::uint32_t dataCentres = 3;
     std::uint32_t generatorThreads = 2;
+    /// Puts a switch into every link of the instances, for `cutOff`.
+    bool partitions = false;
     fleet_config fleet;
     entry_options entry;
 };
@@ -57,6 +59,12 @@
     /// Starts a new instance at \p index with a new start identity.
     result<void> startInstance(std::size_t index);
 
+    /// Cuts data centre \p dataCentre (from 1) off from the others and from the platform; 0 heals.
+    /// Callers still reach it. Needs `partitions`.
+    void cutOff(int dataCentre) { m_cut = dataCentre; }
+    /// Stops the instance's thread for \p length, like a stopped process, without waiting.
+    void pauseInstance(std::size_t index, duration length);
+
     /// Sum of one counter over all instances.
     std::uint64_t counterSum(const std::string &name);
     /// The balancer's rotation: instances whose check last succeeded.
@@ -82,6 +90,7 @@
 
     cluster_options m_options;
     standin_fleet m_fleet;
+    std::atomic<int> m_cut{0};
     std::vector<std::unique_ptr<node>> m_nodes;
 };
 
--- a/include/peridotwheel/entry/entry_instance.h
+++ b/include/peridotwheel/entry/entry_instance.h
@@ -31,6 +31,8 @@
     std::uint64_t seed = 0;
     /// Start identity; a daemon draws it at random.
     start_id start;
+    /// Opens all outgoing connections of the instance, if set; experiments cut links with it.
+    std::function<std::unique_ptr<http_connector>(libevent_loop &)> makeConnector;
 };
 
 /// One entry instance: all components, connected. It lives on one event loop, whose thread makes,
--- a/lib/bench/class_tally.cpp
+++ b/lib/bench/class_tally.cpp
@@ -21,11 +21,11 @@
     addToBin(usefulByBin, bin, 0);
     refusedNotRun += reply.refusedNotRun ? 1 : 0;
     unknown += reply.unknown ? 1 : 0;
+    coverageSum += reply.coverage;
     if (!reply.answered)
         return;
     ++answered;
     latencies.add(reply.latency);
-    coverageSum += reply.coverage;
     const bool inTime = reply.latency <= spec.latencyTarget;
     if (!inTime || reply.coverage < spec.coverageTarget)
         return;
@@ -50,7 +50,8 @@
 
 double class_tally::meanCoverage() const
 {
-    return answered == 0 ? 0.0 : coverageSum / static_cast<double>(answered);
+    const std::uint64_t ran = sent - refusedNotRun;
+    return ran == 0 ? 0.0 : coverageSum / static_cast<double>(ran);
 }
 
 double class_tally::inTargetShare() const
--- a/lib/bench/load_generator.cpp
+++ b/lib/bench/load_generator.cpp
@@ -12,6 +12,8 @@
 /// A caller gives a request up this long after its target; longer than every class's target, so
 /// that a late answer is counted as late and not as lost.
 constexpr duration callerPatience = seconds(5);
+/// Copies arrive while the first is queued, running or just answered.
+constexpr double maxResendDelayMs = 60.0;
 
 } // namespace
 
@@ -99,14 +101,43 @@
     }
     const http_request request{
             http_method::Post, "/query", {{"Content-Type", "application/json"}}, body.dump()};
+    const duration timeout = stream.spec.spec.latencyTarget + callerPatience;
+    if (m_random.fraction() < stream.spec.resendShare)
+        sendAgain(sent, request, timeout);
     ++m_outstanding;
-    m_client.send(m_target.balance(m_random), request,
-                  stream.spec.spec.latencyTarget + callerPatience,
+    m_client.send(m_target.balance(m_random), request, timeout,
                   [this, sent = std::move(sent)](const http_outcome &outcome) {
                       finishOne(sent, outcome);
                   });
 }
 
+void load_generator::sendAgain(const sent_request &sent, const http_request &request,
+                               duration timeout)
+{
+    ++m_outstanding;
+    const auto slot = m_resends.emplace(m_resends.end());
+    const duration delay = fromMilliseconds(m_random.fraction() * maxResendDelayMs);
+    *slot = m_loop.schedule(delay, [this, slot, sent, request, timeout] {
+        const auto resent = sent;
+        const auto again = request;
+        const duration patience = timeout;
+        m_resends.erase(slot);
+        m_client.send(m_target.balance(m_random), again, patience,
+                      [this, resent](const http_outcome &outcome) {
+                          --m_outstanding;
+                          noteNotRun(resent,
+                                     checkReply(resent.expected, outcome, m_result.violations));
+                          checkDone();
+                      });
+    });
+}
+
+void load_generator::noteNotRun(const sent_request &sent, const observed_reply &seen)
+{
+    if (seen.refusedNotRun && !sent.expected.repeatable)
+        m_result.saidNotRun.push_back(sent.expected.requestId);
+}
+
 void load_generator::finishOne(const sent_request &sent, const http_outcome &outcome)
 {
     --m_outstanding;
@@ -114,8 +145,7 @@
     observed_reply seen = checkReply(sent.expected, outcome, m_result.violations);
     seen.latency = m_loop.now() - sent.intended + m_target.callerRoundTrip;
     m_result.classes[spec.name].record(spec, sent.intended - m_start, seen);
-    if (seen.refusedNotRun && !sent.expected.repeatable)
-        m_result.saidNotRun.push_back(sent.expected.requestId);
+    noteNotRun(sent, seen);
     checkDone();
 }
 
--- a/lib/bench/local_cluster.cpp
+++ b/lib/bench/local_cluster.cpp
@@ -1,7 +1,10 @@
 #include "peridotwheel/bench/local_cluster.h"
 
+#include "partitioned_connector.h"
+#include "peridotwheel/http/evhttp_connector.h"
+
+#include <arpa/inet.h>
 #include <future>
-#include <mutex>
 
 namespace peridotwheel {
 
@@ -20,6 +23,12 @@
     return config;
 }
 
+/// "127.0.K.x" is in data centre K, and the platform at 127.0.0.1 in none.
+int dataCentreOf(const endpoint &e)
+{
+    return static_cast<int>((ntohl(inet_addr(e.address.c_str())) >> 8) & 0xff);
+}
+
 void mergeInto(load_result &all, const load_result &part)
 {
     for (const auto &[name, tally] : part.classes)
@@ -89,6 +98,17 @@
     entry_options options = m_options.entry;
     options.seed = m_options.seed * 1000003 + index * 101 + n.starts * 7919;
     options.start = start_id(options.seed);
+    if (m_options.partitions) {
+        const int own = dataCentreOf(settingsOf(index).callers);
+        options.makeConnector = [this, own](libevent_loop &loop) {
+            return std::make_unique<partitioned_connector>(
+                    std::make_unique<evhttp_connector>(loop), loop,
+                    [this, own](const endpoint &to) {
+                        const int cut = m_cut;
+                        return cut != 0 && (own == cut) != (dataCentreOf(to) == cut);
+                    });
+        };
+    }
     return n.thread.call([&]() -> result<void> {
         n.instance = std::make_unique<entry_instance>(n.thread.loop(), settingsOf(index), options);
         BOOST_OUTCOME_TRYV(n.instance->start());
@@ -119,6 +139,11 @@
     return std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - started);
 }
 
+void local_cluster::pauseInstance(std::size_t index, duration length)
+{
+    m_nodes[index]->thread.loop().post([length] { std::this_thread::sleep_for(length); });
+}
+
 endpoint local_cluster::balance(random_source &random) const
 {
     const std::size_t first = random.below(m_nodes.size());
--- a/lib/bench/reply_check.cpp
+++ b/lib/bench/reply_check.cpp
@@ -27,13 +27,15 @@
     const std::uint64_t version = number(answer, "snapshotVersion");
     std::set<std::uint64_t> shards;
     for (const auto &result : answer.value("results", json::array())) {
-        if (text(result, "query") != expected.queryText)
+        const json value = result.value("value", json::object());
+        if (text(value, "query") != expected.queryText)
             ++violations["crossed_answer"];
         if (!expected.sharded)
             continue;
-        if (number(result, "version") != version)
+        const std::uint64_t shard = number(result, "shard");
+        if (number(value, "version") != version || number(value, "shard") != shard)
             ++violations["mixed_version"];
-        if (!shards.insert(number(result, "shard")).second)
+        if (!shards.insert(shard).second)
             ++violations["duplicate_shard"];
     }
     if (!expected.sharded)
@@ -71,17 +73,18 @@
     const std::string ran = text(answer, "ran");
     seen.refusedNotRun = ran == "no";
     seen.unknown = ran != "yes" && ran != "no";
+    const json covered = answer.value("coverage", json::object());
+    const auto total = number(covered, "total");
+    if (total != 0) {
+        seen.coverage =
+                static_cast<double>(number(covered, "answered")) / static_cast<double>(total);
+    }
     if (outcome.reply.status != 200)
         return seen;
     if (text(answer, "requestId") != expected.requestId)
         ++violations["crossed_answer"];
     seen.answered = true;
     seen.refusedNotRun = false;
-    const json covered = answer.value("coverage", json::object());
-    const auto total = number(covered, "total");
-    seen.coverage = total == 0 ? 1.0
-                               : static_cast<double>(number(covered, "answered")) /
-                                         static_cast<double>(total);
     checkResults(expected, answer, violations);
     return seen;
 }
--- a/lib/entry/entry_instance.cpp
+++ b/lib/entry/entry_instance.cpp
@@ -99,7 +99,7 @@
     counter_set counters;
     event_ring events;
     random_source claimRandom;
-    evhttp_connector connector;
+    std::unique_ptr<http_connector> connector;
     pooled_http_client http;
     http_platform_client platform;
     platform_health_tracker health;
@@ -122,11 +122,11 @@
 entry_instance::parts::parts(libevent_loop &loop, const settings &s, const entry_options &o)
     : events(loop, o.timelineCapacity)
     , claimRandom(o.seed + ClaimSeed)
-    , connector(loop)
-    , http(connector)
+    , connector(o.makeConnector ? o.makeConnector(loop) : std::make_unique<evhttp_connector>(loop))
+    , http(*connector)
     , platform(http, platformOptions(s))
     , health(loop, board, events.sink())
-    , engine(loop, board, connector, counters, events.sink(), o.seed + EngineSeed, s.id,
+    , engine(loop, board, *connector, counters, events.sink(), o.seed + EngineSeed, s.id,
              s.dataCentre, o.engine)
     , admission(loop, board, engine,
                 {[this] { return engine.concurrencyLimit(); },
