--- a/include/peridotwheel/standin/backend_standin.h
+++ b/include/peridotwheel/standin/backend_standin.h
@@ -53,6 +53,7 @@
     std::uint64_t expired = 0;
     std::uint64_t versionNotHeld = 0;
     std::uint64_t refusedConnections = 0;
+    std::uint64_t openConnections = 0;
     std::uint64_t peakConnections = 0; ///< The largest of any one server.
     /// Requests received after `drainStart`, and when (bounded, see `maxDrainTimes`).
     std::uint64_t receivedAfterDrain = 0;
--- a/lib/standin/backend_impl.cpp
+++ b/lib/standin/backend_impl.cpp
@@ -103,6 +103,7 @@
 
 backend_counters backend_standin::impl::counters()
 {
+    m_counters.openConnections = m_listener.open();
     m_counters.peakConnections = m_listener.peak();
     m_counters.refusedConnections = m_listener.refused();
     return m_counters;
--- a/lib/standin/backend_standin.cpp
+++ b/lib/standin/backend_standin.cpp
@@ -15,6 +15,7 @@
     expired += other.expired;
     versionNotHeld += other.versionNotHeld;
     refusedConnections += other.refusedConnections;
+    openConnections += other.openConnections;
     peakConnections = std::max(peakConnections, other.peakConnections);
     receivedAfterDrain += other.receivedAfterDrain;
     receivedAfterDrainAt.insert(receivedAfterDrainAt.end(), other.receivedAfterDrainAt.begin(),
--- a/lib/standin/standin_control.cpp
+++ b/lib/standin/standin_control.cpp
@@ -41,6 +41,7 @@
             {"expired", c.expired},
             {"versionNotHeld", c.versionNotHeld},
             {"refusedConnections", c.refusedConnections},
+            {"openConnections", c.openConnections},
             {"peakConnections", c.peakConnections},
             {"receivedAfterDrain", c.receivedAfterDrain},
             {"runRequestIds", c.runs.size()},
