--- a/unittests/standin/platform_standin_test.cpp
+++ b/unittests/standin/platform_standin_test.cpp
@@ -14,7 +14,7 @@
 class platform_fixture : public standin_fixture
 {
 protected:
-    void serve(platform_config config = {})
+    void serve(const platform_config &config = {})
     {
         m_platform = std::make_unique<platform_standin>(m_loop, config);
         ASSERT_TRUE(m_platform->start().has_value());
