Read the headers of a stand-in request in one pass

Looking up each header scanned all of them, up to eight times a request. Replies no longer repeat X-Attempt, which the protocol does not list.

--- a/include/peridotwheel/standin/backend_standin.h
+++ b/include/peridotwheel/standin/backend_standin.h
@@ -71,8 +71,9 @@
 /// policy. All members are used on the loop's thread.
 ///
 /// `X-Deadline-Ms` is the time left in milliseconds when the request is sent. `X-Attempt` is an
-/// opaque text that must differ between instances; replies repeat it. Requests for `/run` name
-/// themselves by `X-Request-Id`. `X-Load` is the number of running and waiting requests per worker.
+/// opaque text that must differ between instances, since `/cancel` finds a request by it alone.
+/// Requests for `/run` name themselves by `X-Request-Id`. `X-Load` is the number of running and
+/// waiting requests per worker.
 class backend_standin
 {
 public:
--- a/lib/standin/backend_impl.h
+++ b/lib/standin/backend_impl.h
@@ -13,6 +13,17 @@
 
 namespace peridotwheel {
 
+/// Request headers that matter; null if absent. They live as long as the request.
+struct work_headers
+{
+    const char *attempt = nullptr;
+    const char *deadlineMs = nullptr;
+    const char *version = nullptr;
+    const char *shards = nullptr;
+    const char *dataCentre = nullptr;
+    const char *requestId = nullptr;
+};
+
 class backend_standin::impl
 {
 public:
@@ -31,13 +42,15 @@
     // Reception (backend_impl.cpp).
     void onRequest(evhttp_request *req, standin_connection &connection);
     void onGone(standin_connection &connection);
-    void onWork(evhttp_request *req, standin_connection &connection, bool run);
-    void readHeaders(backend_job &job);
+    bool ignores(const work_headers &headers) const;
+    void onWork(evhttp_request *req, standin_connection &connection, const work_headers &headers,
+                bool run);
+    void fill(backend_job &job, const work_headers &headers);
     void countAfterDrain();
-    bool faultOnArrival(backend_job &job);
+    bool faultOnArrival(backend_job &job, const work_headers &headers);
     void onHealth(evhttp_request *req);
     void onLoad(evhttp_request *req);
-    void onCancel(evhttp_request *req);
+    void onCancel(evhttp_request *req, const work_headers &headers);
     const char *cancel(const std::string &attempt);
 
     // Execution (backend_execution.cpp).
