--- a/include/peridotwheel/standin/backend_standin.h
+++ b/include/peridotwheel/standin/backend_standin.h
@@ -53,6 +53,7 @@
     std::uint64_t expired = 0;
     std::uint64_t versionNotHeld = 0;
     std::uint64_t refusedConnections = 0;
+    std::uint64_t openConnections = 0;
     std::uint64_t peakConnections = 0; ///< The largest of any one server.
     /// Requests received after `drainStart`, and when (bounded, see `maxDrainTimes`).
     std::uint64_t receivedAfterDrain = 0;
@@ -70,8 +71,9 @@
 /// policy. All members are used on the loop's thread.
 ///
 /// `X-Deadline-Ms` is the time left in milliseconds when the request is sent. `X-Attempt` is an
-/// opaque text that must differ between instances; replies repeat it. Requests for `/run` name
-/// themselves by `X-Request-Id`. `X-Load` is the number of running and waiting requests per worker.
+/// opaque text that must differ between instances, since `/cancel` finds a request by it alone.
+/// Requests for `/run` name themselves by `X-Request-Id`. `X-Load` is the number of running and
+/// waiting requests per worker.
 class backend_standin
 {
 public:
