--- a/lib/query/attempt.cpp
+++ b/lib/query/attempt.cpp
@@ -87,6 +87,14 @@
     return m_query->finishAt();
 }
 
+void attempt::abandon()
+{
+    if (!m_sent || m_over || !server->pool.abort(*this))
+        return;
+    m_over = true;
+    server->stats.onAbandoned(m_state.loop.now());
+}
+
 std::string attempt::wireId() const
 {
     return m_state.attemptPrefix + std::to_string(id.value());
@@ -216,16 +224,11 @@
         server->pool.withdraw(*this);
         return;
     }
-    // The reply to a probe is awaited for its own sake.
-    if (kind == attempt_kind::Probe)
+    // The reply to a probe is awaited for its own sake, and that of a suspect server tells whether
+    // it is slow or dead.
+    if (kind == attempt_kind::Probe || server->stats.suspect())
         return;
     const time_point now = m_state.loop.now();
-    if (server->stats.suspect()) {
-        m_over = server->pool.abort(*this);
-        if (m_over)
-            server->stats.onAbandoned(now);
-        return;
-    }
     // A cancellation is a request too: it pays only while the attempt probably waits in the
     // server's queue.
     if (now - m_sentAt >= server->stats.floor() / 2)
--- a/lib/query/attempt.h
+++ b/lib/query/attempt.h
@@ -47,9 +47,11 @@
     bool pending() const { return !m_over; }
     bool sent() const { return m_sent; }
     time_point sentAt() const { return m_sentAt; }
-    /// Withdraws the attempt if it waits; closes its connection or sends a cancellation if that
-    /// frees the server or the connection earlier than its reply would.
+    /// Detaches the attempt and withdraws it if it waits. If it was sent, its reply still counts for
+    /// the statistics; a cancellation is sent only if it probably saves the server the work.
     void giveUp();
+    /// Closes the connection of a sent attempt.
+    void abandon();
     std::string wireId() const;
 
     const attempt_id id;
--- a/lib/query/engine_state.cpp
+++ b/lib/query/engine_state.cpp
@@ -14,6 +14,11 @@
 constexpr duration maintenanceInterval = milliseconds(100);
 /// A tick that is this late means that the process did not run.
 constexpr duration stallThreshold = milliseconds(100);
+/// Connections of a server that has been silent for this long are given up, so that probes find a
+/// free one.
+constexpr duration hopelessAfter = seconds(1);
+/// Slowdown assumed while most servers are silent: that is a common cause, not the servers' own.
+constexpr double silentSlowdown = 6.0;
 /// Latencies assumed before the first reply; only their order matters.
 constexpr duration nearPrior = milliseconds(10);
 constexpr duration farPrior = milliseconds(30);
@@ -238,8 +243,11 @@
         return;
     for (const auto &waiting : server.pool.inFlightAttempts()) {
         auto &stuck = static_cast<attempt &>(*waiting);
-        if (stuck.query() != nullptr)
+        if (stuck.query() != nullptr) {
             stuck.query()->onStuck(stuck);
+        } else if (server.stats.suspectFor(now) >= hopelessAfter) {
+            stuck.abandon();
+        }
     }
 }
 
@@ -266,7 +274,12 @@
         slowdown += service->slowdown();
         ++measured;
     }
-    const double ratio = measured > 0 ? slowdown / measured : 1.0;
+    double ratio = measured > 0 ? slowdown / measured : 1.0;
+    const auto silent = std::count_if(servers.begin(), servers.end(), [](const auto &entry) {
+        return entry.second->stats.suspect();
+    });
+    if (2 * static_cast<std::size_t>(silent) > servers.size())
+        ratio = std::max(ratio, silentSlowdown);
     hedges.setSlowdown(ratio);
     retries.setSlowdown(ratio);
     updateConcurrency();
--- a/lib/routing/server_stats.cpp
+++ b/lib/routing/server_stats.cpp
@@ -15,6 +15,8 @@
 constexpr double errorHalfLifeUs = 2e6;
 /// The floor rises by this share per second, so that it follows a lasting change of speed.
 constexpr double floorRisePerSecond = 0.02;
+/// A server that answered a probe is used again, carefully, whatever failed before.
+constexpr double recoveredErrorRate = 0.1;
 constexpr std::uint32_t failuresForSuspicion = 3;
 /// The first probe comes soon because the suspicion may be false; later ones double up to the
 /// longest interval.
@@ -63,6 +65,8 @@
     const double risen = m_floor * (1 + floorRisePerSecond * sinceSample / 1e6);
     m_floor = m_replies == 0 ? m_average : std::min(std::max(risen, 1.0), m_average);
     m_errorRate = errorRate(now) * (1 - errorWeight);
+    if (m_suspect)
+        m_errorRate = std::min(m_errorRate, recoveredErrorRate);
     m_lastError = now;
     m_lastSample = now;
     ++m_replies;
--- a/unittests/query/query_engine_test.cpp
+++ b/unittests/query/query_engine_test.cpp
@@ -170,6 +170,10 @@
 TEST_F(engine_fixture, silentServersCostOnlyTheFirstQueries)
 {
     build(8);
+    for (std::uint16_t k = 0; k < 8; ++k) {
+        m_connector.at(static_cast<std::uint16_t>(100 * k + 1)).latency = milliseconds(30);
+        m_connector.at(static_cast<std::uint16_t>(100 * k + 2)).latency = milliseconds(30);
+    }
     warmUp();
     for (std::uint16_t k = 0; k < 8; ++k)
         m_connector.at(static_cast<std::uint16_t>(100 * k)).silent = true;
