--- a/include/peridotwheel/limits/concurrency_limiter.h
+++ b/include/peridotwheel/limits/concurrency_limiter.h
@@ -18,8 +18,9 @@
 
     void setMaximum(std::uint32_t maximum);
     void onShed(time_point now);
-    /// \p tolerated is the latency above which the server is considered to queue.
-    void onReply(duration latency, duration tolerated, std::uint32_t inFlight, time_point now);
+    /// A good reply, with the average latency so far. \p tolerated is the average above which the
+    /// server is considered to queue.
+    void onReply(duration average, duration tolerated, std::uint32_t inFlight, time_point now);
     /// At least 1 unless the maximum is 0.
     std::uint32_t limit() const;
 
@@ -28,7 +29,6 @@
 
     double m_limit;
     double m_maximum;
-    double m_average = 0; // microseconds
     time_point m_nextShrink{};
 };
 
--- a/include/peridotwheel/limits/server_pool.h
+++ b/include/peridotwheel/limits/server_pool.h
@@ -6,6 +6,7 @@
 #include "peridotwheel/support/ids.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <tuple>
@@ -48,6 +49,9 @@
     server_pool &operator=(const server_pool &) = delete;
     ~server_pool();
 
+    /// Called when an open connection did not answer a health check in time.
+    std::function<void()> onUnresponsive;
+
     /// Connections allowed. Excess connections close once they are idle.
     void setShare(std::uint32_t share);
     /// Attempts in flight allowed.
@@ -93,6 +97,7 @@
     void onOutcome(slot &s, http_outcome outcome);
     void remove(const slot &s);
     void trim();
+    void refreshIdle(time_point now);
     void returnExpired();
 
     event_loop &m_loop;
@@ -108,6 +113,7 @@
     time_point m_refusedUntil{};
     time_point m_openAfter{};
     duration m_openDelay{};
+    time_point m_lastUsed{};
     bool m_down = false;
     bool m_closed = false;
 };
--- a/include/peridotwheel/routing/server_stats.h
+++ b/include/peridotwheel/routing/server_stats.h
@@ -28,6 +28,8 @@
     /// Marks the server as suspect if attempts are outstanding and nothing came back for
     /// \p patience. Returns true on the change to suspect.
     bool checkSilence(time_point now, duration patience);
+    /// The server is suspected for a reason other than its replies.
+    void distrust(time_point now) { becomeSuspect(now); }
     /// Silent or failing: gets probes only, until it answers one.
     bool suspect() const { return m_suspect; }
     duration suspectFor(time_point now) const { return now - m_suspectSince; }
--- a/lib/limits/concurrency_limiter.cpp
+++ b/lib/limits/concurrency_limiter.cpp
@@ -8,7 +8,6 @@
 
 constexpr double shedFactor = 0.7;
 constexpr double queueingFactor = 0.9;
-constexpr double averageWeight = 0.1;
 /// One overload is seen by all attempts that were in flight, so it may shrink the limit only once.
 constexpr duration shrinkInterval = milliseconds(50);
 
@@ -41,12 +40,10 @@
     shrink(shedFactor, now);
 }
 
-void concurrency_limiter::onReply(duration latency, duration tolerated, std::uint32_t inFlight,
+void concurrency_limiter::onReply(duration average, duration tolerated, std::uint32_t inFlight,
                                   time_point now)
 {
-    const auto sample = static_cast<double>(latency.count());
-    m_average = m_average == 0 ? sample : m_average + averageWeight * (sample - m_average);
-    if (m_average > static_cast<double>(tolerated.count())) {
+    if (average > tolerated) {
         shrink(queueingFactor, now);
         return;
     }
--- a/lib/limits/server_pool.cpp
+++ b/lib/limits/server_pool.cpp
@@ -9,6 +9,9 @@
 constexpr duration healthTimeout = milliseconds(500);
 /// Idle connections are refreshed well before servers close them; 30 s is the common idle limit.
 constexpr duration refreshAfter = seconds(10);
+/// A server without other traffic is asked for its health this often, so that its silence is known
+/// before a query depends on it. An answer proves nothing.
+constexpr duration checkUnusedAfter = seconds(1);
 /// A refusal by the connection limit lowers the share for this long: views that differ have then
 /// mostly converged.
 constexpr duration refusedHold = seconds(2);
@@ -132,9 +135,12 @@
     const bool wasReady = s.ready;
     remove(s);
     // An idle connection that the server has closed says nothing about limits.
-    if (wasReady)
-        return;
     const bool silent = m_loop.now() - started >= healthTimeout;
+    if (wasReady) {
+        if (silent && onUnresponsive)
+            onUnresponsive();
+        return;
+    }
     onRefused(outcome.failure == transport_failure::NotSent || silent);
 }
 
@@ -195,6 +201,7 @@
     ++m_inFlight;
     s.attempt = attempt;
     s.lastUsed = now;
+    m_lastUsed = now;
     attempt->onSent(now);
     s.connection->send(attempt->buildRequest(now), attempt->timeout(now),
                        [this, &s](http_outcome o) { onOutcome(s, std::move(o)); });
@@ -293,11 +300,21 @@
     returnExpired();
     trim();
     openMissing();
+    refreshIdle(now);
+    dispatch();
+}
+
+void server_pool::refreshIdle(time_point now)
+{
     for (const auto &s : m_slots) {
         if (s->idle() && now - s->lastUsed >= refreshAfter)
             checkHealth(*s);
     }
-    dispatch();
+    slot *s = idleSlot();
+    if (s == nullptr || now - m_lastUsed < checkUnusedAfter)
+        return;
+    m_lastUsed = now;
+    checkHealth(*s);
 }
 
 } // namespace peridotwheel
--- a/lib/query/attempt.cpp
+++ b/lib/query/attempt.cpp
@@ -211,7 +211,8 @@
     server->stats.onReply(latency, now);
     server->service.add(latency);
     const duration tolerated = server->stats.floor() + toleratedQueueing * server->service.nearest;
-    server->limiter.onReply(latency, tolerated, server->stats.inFlight(), now);
+    server->limiter.onReply(server->stats.expectedLatency(now), tolerated, server->stats.inFlight(),
+                            now);
 }
 
 void attempt::giveUp()
--- a/lib/query/attempt.h
+++ b/lib/query/attempt.h
@@ -47,8 +47,8 @@
     bool pending() const { return !m_over; }
     bool sent() const { return m_sent; }
     time_point sentAt() const { return m_sentAt; }
-    /// Detaches the attempt and withdraws it if it waits. If it was sent, its reply still counts for
-    /// the statistics; a cancellation is sent only if it probably saves the server the work.
+    /// Detaches the attempt and withdraws it if it waits. If it was sent, its reply still counts
+    /// for the statistics; a cancellation is sent only if it probably saves the server the work.
     void giveUp();
     /// Closes the connection of a sent attempt.
     void abandon();
--- a/lib/query/backend_server.cpp
+++ b/lib/query/backend_server.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr double serviceAverageWeight = 0.02;
+/// Stragglers count as this many averages; a lasting slowdown still shows within a second.
+constexpr double outlierFactor = 4.0;
 /// 2% per second at ten calls a second.
 constexpr double floorRise = 1.002;
 /// A server counts as cold until it has answered this many attempts.
@@ -22,7 +24,9 @@
 void service_stats::add(duration sample)
 {
     latency.add(sample);
-    const auto value = static_cast<double>(sample.count());
+    auto value = static_cast<double>(sample.count());
+    if (average > 0)
+        value = std::min(value, average * outlierFactor);
     average = average == 0 ? value : average + serviceAverageWeight * (value - average);
     floor = floor == 0 ? average : std::min(floor, average);
 }
--- a/lib/query/engine_state.cpp
+++ b/lib/query/engine_state.cpp
@@ -14,6 +14,8 @@
 constexpr duration maintenanceInterval = milliseconds(100);
 /// A tick that is this late means that the process did not run.
 constexpr duration stallThreshold = milliseconds(100);
+/// Longer than any health check takes.
+constexpr duration stallForgiveness = seconds(1);
 /// Connections of a server that has been silent for this long are given up, so that probes find a
 /// free one.
 constexpr duration hopelessAfter = seconds(1);
@@ -139,7 +141,18 @@
     if (!service)
         service = std::make_unique<service_stats>();
     const duration prior = record.dataCentre == dataCentre ? nearPrior : farPrior;
-    return std::make_shared<backend_server>(loop, connector, record, *service, prior);
+    auto server = std::make_shared<backend_server>(loop, connector, record, *service, prior);
+    server->pool.onUnresponsive = [this, raw = server.get()] { onUnresponsive(*raw); };
+    return server;
+}
+
+void engine_state::onUnresponsive(backend_server &server)
+{
+    const time_point now = loop.now();
+    noticeTime(now);
+    // A health check that spans a pause of this process times out through no fault of the server.
+    if (now - stalledUntil >= stallForgiveness)
+        server.stats.distrust(now);
 }
 
 void engine_state::updateServers()
--- a/lib/query/engine_state.h
+++ b/lib/query/engine_state.h
@@ -88,6 +88,7 @@
 
 private:
     std::shared_ptr<backend_server> makeServer(const server_record &record);
+    void onUnresponsive(backend_server &server);
     void checkServer(backend_server &server, time_point now);
     void maintain(time_point now);
     void updateConcurrency();
--- a/lib/query/running_query_retry.cpp
+++ b/lib/query/running_query_retry.cpp
@@ -68,7 +68,7 @@
         park(g);
         return;
     }
-    dispatch({index}, attempt_kind::Retry);
+    dispatch({index}, g.sentBefore ? attempt_kind::Retry : attempt_kind::First);
 }
 
 void running_query::park(group_state &g)
--- a/lib/routing/server_stats.cpp
+++ b/lib/routing/server_stats.cpp
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr double averageWeight = 0.1;
+/// Longer samples count as this much: one straggler in a hundred must not turn the work away from a
+/// server, while a lasting slowdown still shows after a few replies.
+constexpr double outlierFactor = 2.0;
+constexpr double outlierMarginUs = 5000;
 constexpr double errorWeight = 0.2;
 /// The average of an unused server approaches its floor with this half-life.
 constexpr double averageHalfLifeUs = 1e6;
@@ -56,9 +60,10 @@
 void server_stats::onReply(duration latency, time_point now)
 {
     settle(now);
-    const double sample = micros(latency);
     const double sinceSample = micros(now - m_lastSample);
     const double current = micros(expectedLatency(now));
+    const double longest = current * outlierFactor + outlierMarginUs;
+    const double sample = m_replies == 0 ? micros(latency) : std::min(micros(latency), longest);
     // The first replies replace the prior quickly.
     const double weight = std::max(averageWeight, 1.0 / static_cast<double>(m_replies + 1));
     m_average = current + weight * (sample - current);
--- /dev/null
+++ b/unittests/limits/limits_test.cpp
@@ -0,0 +1,203 @@
+#include "peridotwheel/limits/concurrency_limiter.h"
+#include "peridotwheel/limits/connection_share.h"
+#include "peridotwheel/limits/retry_budget.h"
+#include "peridotwheel/limits/server_pool.h"
+#include "peridotwheel/support/manual_loop.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace peridotwheel;
+
+namespace {
+
+constexpr time_point start{seconds(100)};
+
+member_map membersUpTo(int count)
+{
+    member_map members;
+    for (int i = 0; i < count; ++i)
+        members[instance_id("i" + std::to_string(i))] = {};
+    return members;
+}
+
+/// Answers health checks at once and keeps the attempts until the test completes them.
+class held_connection : public http_connection
+{
+public:
+    held_connection(manual_loop &loop, std::vector<outcome_hook> &held)
+        : m_loop(loop)
+        , m_held(held)
+    {
+    }
+    void send(const http_request &request, duration, outcome_hook done) override
+    {
+        if (request.path != "/health") {
+            m_held.push_back(std::move(done));
+            return;
+        }
+        m_loop.post([done = std::move(done)] { done({transport_failure::None, {200, {}, ""}}); });
+    }
+    bool busy() const override { return false; }
+    bool established() const override { return true; }
+
+private:
+    manual_loop &m_loop;
+    std::vector<outcome_hook> &m_held;
+};
+
+class held_connector : public http_connector
+{
+public:
+    explicit held_connector(manual_loop &loop)
+        : m_loop(loop)
+    {
+    }
+    std::unique_ptr<http_connection> open(const endpoint &) override
+    {
+        return std::make_unique<held_connection>(m_loop, held);
+    }
+    std::vector<outcome_hook> held;
+
+private:
+    manual_loop &m_loop;
+};
+
+class noted_attempt : public pool_attempt
+{
+public:
+    noted_attempt(std::string name, std::uint32_t rank, time_point deadline,
+                  std::vector<std::string> &log)
+        : m_name(std::move(name))
+        , m_rank(rank)
+        , m_deadline(deadline)
+        , m_log(log)
+    {
+    }
+    class_rank rank() const override { return m_rank; }
+    time_point deadline() const override { return m_deadline; }
+    http_request buildRequest(time_point) override { return {http_method::Post, "/run", {}, ""}; }
+    duration timeout(time_point) const override { return seconds(1); }
+    void onSent(time_point) override { m_log.push_back("sent " + m_name); }
+    void onOutcome(http_outcome) override { m_log.push_back("done " + m_name); }
+    void onReturned() override { m_log.push_back("returned " + m_name); }
+
+private:
+    std::string m_name;
+    class_rank m_rank;
+    time_point m_deadline;
+    std::vector<std::string> &m_log;
+};
+
+} // namespace
+
+// The sum over all instances must not exceed the server's limit, or connections are refused.
+RC_GTEST_PROP(connection_share, sharesAddUpToTheLimit, ())
+{
+    const int count = *rc::gen::inRange(2, 12);
+    const auto limit = *rc::gen::inRange<std::uint32_t>(0, 60);
+    std::uint32_t sum = 0;
+    for (int i = 0; i < count; ++i) {
+        connection_share share(instance_id("i" + std::to_string(i)), start);
+        share.observe(membersUpTo(count), start);
+        const std::uint32_t own = share(server_id("n1"), limit);
+        RC_ASSERT(limit < static_cast<std::uint32_t>(count) || own >= 1);
+        sum += own;
+    }
+    RC_ASSERT(sum == limit);
+}
+
+TEST(connection_share, shrinksAtOnceAndGrowsAfterTheHold)
+{
+    connection_share share(instance_id("i0"), start, seconds(10));
+    share.observe(membersUpTo(2), start);
+    EXPECT_EQ(share(server_id("n"), 20), 10U);
+    share.observe(membersUpTo(4), start);
+    EXPECT_EQ(share(server_id("n"), 20), 5U);
+    share.observe(membersUpTo(2), start + seconds(1));
+    share.observe(membersUpTo(2), start + seconds(10));
+    EXPECT_EQ(share(server_id("n"), 20), 5U);
+    share.observe(membersUpTo(2), start + seconds(11));
+    EXPECT_EQ(share(server_id("n"), 20), 10U);
+}
+
+// An instance that starts with an empty view must not take the connections of its peers.
+TEST(connection_share, emptyViewTakesOneConnectionUntilTheHoldIsOver)
+{
+    connection_share share(instance_id("i0"), start, seconds(10));
+    share.observe(membersUpTo(1), start);
+    EXPECT_EQ(share(server_id("n"), 20), 1U);
+    share.observe(membersUpTo(1), start + seconds(10));
+    EXPECT_EQ(share(server_id("n"), 20), 20U);
+}
+
+TEST(concurrency_limiter, shrinksOncePerOverloadAndRecovers)
+{
+    concurrency_limiter limiter(10);
+    limiter.onShed(start);
+    limiter.onShed(start);
+    EXPECT_EQ(limiter.limit(), 7U);
+    for (int i = 0; i < 100; ++i)
+        limiter.onReply(milliseconds(10), milliseconds(30), 9, start + seconds(1));
+    EXPECT_EQ(limiter.limit(), 10U);
+    for (int i = 0; i < 100; ++i)
+        limiter.onReply(milliseconds(90), milliseconds(30), 9, start + i * seconds(1));
+    EXPECT_EQ(limiter.limit(), 1U);
+}
+
+TEST(retry_budget, isAFractionOfFirstAttemptsAndShrinksWhenAllIsSlow)
+{
+    const auto taken = [](double slowdown) {
+        retry_budget budget(0.1, 5, start);
+        budget.setSlowdown(slowdown);
+        budget.onFirstAttempts(1000, start);
+        int count = 0;
+        while (budget.take(start))
+            ++count;
+        return count;
+    };
+    EXPECT_EQ(taken(1), 105);
+    EXPECT_LE(taken(8), 7);
+}
+
+TEST(server_pool, sendsWaitingAttemptsByRankThenDeadline)
+{
+    manual_loop loop;
+    held_connector connector(loop);
+    server_pool pool(loop, connector, {"127.0.0.1", 1});
+    pool.setShare(1);
+    loop.runPosted();
+    std::vector<std::string> log;
+    const auto submit = [&](const char *name, std::uint32_t rank, duration left) {
+        pool.submit(std::make_shared<noted_attempt>(name, rank, loop.now() + left, log));
+    };
+    submit("first", 2, seconds(1));
+    submit("low", 2, milliseconds(10));
+    submit("late", 0, seconds(2));
+    submit("early", 0, seconds(1));
+    for (std::size_t i = 0; i < 3; ++i) {
+        loop.advance(milliseconds(20));
+        connector.held[i]({transport_failure::None, {200, {}, ""}});
+    }
+    const std::vector<std::string> expected{"sent first", "sent early",   "done first", "sent late",
+                                            "done early", "returned low", "done late"};
+    EXPECT_EQ(log, expected);
+}
+
+TEST(server_pool, surplusConnectionsCloseWhenTheShareShrinks)
+{
+    manual_loop loop;
+    held_connector connector(loop);
+    server_pool pool(loop, connector, {"127.0.0.1", 1});
+    pool.setShare(4);
+    pool.setLimit(4);
+    loop.runPosted();
+    std::vector<std::string> log;
+    for (int i = 0; i < 3; ++i)
+        pool.submit(std::make_shared<noted_attempt>("a", 0, loop.now() + seconds(1), log));
+    pool.setShare(1);
+    EXPECT_EQ(pool.established(), 3U) << "attempts in flight keep their connections";
+    for (int i = 0; i < 3; ++i)
+        connector.held[i]({transport_failure::None, {200, {}, ""}});
+    EXPECT_EQ(pool.established(), 1U);
+}
--- a/unittests/query/fake_servers.cpp
+++ b/unittests/query/fake_servers.cpp
@@ -59,18 +59,23 @@
             finishAfter(milliseconds(1), failed(transport_failure::MayHaveRun));
             return;
         }
-        if (request.path == "/health") {
+        if (m_server.silent && request.path == "/health") {
+            finishAfter(timeout, failed(transport_failure::MayHaveRun));
+            return;
+        }
+        if (request.path == "/health" || request.path == "/cancel") {
             finishAfter(milliseconds(1), {transport_failure::None, {200, {}, ""}});
             return;
         }
         m_server.requests.push_back(request);
+        const duration latency =
+                m_server.latencyOf ? m_server.latencyOf(request) : m_server.latency;
         if (m_server.reset) {
             finishAfter(milliseconds(2), failed(transport_failure::MayHaveRun));
-        } else if (m_server.silent || m_server.latency > timeout) {
+        } else if (m_server.silent || latency > timeout) {
             finishAfter(timeout, failed(transport_failure::MayHaveRun));
         } else {
-            finishAfter(m_server.latency,
-                        {transport_failure::None, replyOf(m_server, request)});
+            finishAfter(latency, {transport_failure::None, replyOf(m_server, request)});
         }
     }
     bool busy() const override { return m_done != nullptr; }
--- a/unittests/query/fake_servers.h
+++ b/unittests/query/fake_servers.h
@@ -16,6 +16,8 @@
 struct fake_server
 {
     duration latency = milliseconds(10);
+    /// If set, gives the latency of each request instead.
+    std::function<duration(const http_request &)> latencyOf;
     bool silent = false;
     bool down = false;
     /// Connections beyond this are closed as soon as they are used.
--- /dev/null
+++ b/unittests/query/hedging_policy_test.cpp
@@ -0,0 +1,43 @@
+#include "peridotwheel/query/hedging_policy.h"
+
+#include <gtest/gtest.h>
+
+using namespace peridotwheel;
+
+namespace {
+
+constexpr time_point start{seconds(100)};
+
+hedging_input usual()
+{
+    hedging_input input;
+    input.sentAt = start;
+    input.target = start + milliseconds(135);
+    input.deadline = start + milliseconds(135);
+    input.p95 = milliseconds(20);
+    input.distance = milliseconds(20);
+    return input;
+}
+
+} // namespace
+
+TEST(hedging_policy, waitsUntilASecondAttemptJustMeetsTheTarget)
+{
+    // 135 - (1.5 * 20 + 20 + 5)
+    EXPECT_EQ(hedgeTime(usual()), start + milliseconds(80));
+}
+
+// Hedging earlier than the p95 would double more than one attempt in twenty.
+TEST(hedging_policy, neverComesBeforeTheP95)
+{
+    hedging_input input = usual();
+    input.target = start + milliseconds(30);
+    EXPECT_EQ(hedgeTime(input), start + milliseconds(20));
+}
+
+TEST(hedging_policy, isUselessIfNoSecondReplyFitsIn)
+{
+    hedging_input input = usual();
+    input.p95 = milliseconds(120);
+    EXPECT_EQ(hedgeTime(input), std::nullopt);
+}
--- a/unittests/query/merge_test.cpp
+++ b/unittests/query/merge_test.cpp
@@ -58,8 +58,8 @@
         const auto expected = it->second;
         open.erase(it);
         const std::set<std::uint32_t> unique(s.shards.begin(), s.shards.end());
-        const bool known = std::includes(expected.begin(), expected.end(), unique.begin(),
-                                         unique.end());
+        const bool known =
+                std::includes(expected.begin(), expected.end(), unique.begin(), unique.end());
         const bool wellFormed = !s.shards.empty() && unique.size() == s.shards.size() &&
                                 s.elements == s.shards.size();
         if (s.version != 1 || !known || !wellFormed)
--- a/unittests/query/query_engine_test.cpp
+++ b/unittests/query/query_engine_test.cpp
@@ -35,9 +35,9 @@
         m_board.servers.set(servers);
         publish(map);
         options.connectionHold = duration::zero();
-        m_engine = std::make_unique<query_engine>(
-                m_loop, m_board, m_connector, m_counters, event_sink(), seed, instance_id("i1"),
-                data_centre_id("d0"), options);
+        m_engine = std::make_unique<query_engine>(m_loop, m_board, m_connector, m_counters,
+                                                  event_sink(), seed, instance_id("i1"),
+                                                  data_centre_id("d0"), options);
         m_loop.advance(milliseconds(200));
     }
 
@@ -354,7 +354,6 @@
     load(100, milliseconds(12));
     const double first = static_cast<double>(counted("query.attempts.first") - firstBefore);
     EXPECT_LE(static_cast<double>(extra() - before), 0.02 * first);
-    for (auto&e: m_counters.all()) printf("%s %lu\n", e.first.c_str(), e.second.value());
 }
 
 // After a pause of this process the replies are late through no fault of the servers.
