--- a/include/peridotwheel/limits/server_pool.h
+++ b/include/peridotwheel/limits/server_pool.h
@@ -59,6 +59,9 @@
     /// Stops opening connections and closes those that are idle.
     void close();
 
+    /// Drops all connections and attempts without calling back.
+    void reset();
+
     /// Sends at once if a connection is free; otherwise waits by rank, then deadline.
     void submit(std::shared_ptr<pool_attempt> attempt);
     /// Removes a waiting attempt; false if it is not waiting. Nothing is called back.
@@ -81,8 +84,8 @@
     bool hasIdle() const { return idleSlot() != nullptr; }
     /// Connections that may be open at present: the share, less after a refusal.
     std::uint32_t allowed() const;
-    /// The server could not be reached lately and no connection is open.
-    bool down() const { return m_down && established() == 0; }
+    /// The server could not be reached or refused lately, and no connection is open.
+    bool down() const;
 
 private:
     struct slot;
@@ -93,7 +96,7 @@
     void checkHealth(slot &s);
     void onHealth(slot &s, time_point started, const http_outcome &outcome);
     void onRefused(bool unreachable);
-    void send(slot &s, std::shared_ptr<pool_attempt> attempt);
+    void send(slot &s, const std::shared_ptr<pool_attempt> &attempt);
     void onOutcome(slot &s, http_outcome outcome);
     void remove(const slot &s);
     void trim();
--- a/lib/limits/server_pool.cpp
+++ b/lib/limits/server_pool.cpp
@@ -65,6 +65,22 @@
     trim();
 }
 
+void server_pool::reset()
+{
+    m_closed = true;
+    // Attempts may hold the last reference to the owner of this pool, so that they go last.
+    const auto slots = std::move(m_slots);
+    const auto waiting = std::move(m_waiting);
+    m_slots.clear();
+    m_waiting.clear();
+}
+
+bool server_pool::down() const
+{
+    const bool refused = m_down || m_loop.now() < m_openAfter;
+    return refused && established() == 0;
+}
+
 std::size_t server_pool::established() const
 {
     return static_cast<std::size_t>(
@@ -170,7 +186,7 @@
     }
     slot *s = m_waiting.empty() && m_inFlight < m_limit ? idleSlot() : nullptr;
     if (s != nullptr && m_loop.now() < attempt->deadline()) {
-        send(*s, std::move(attempt));
+        send(*s, attempt);
         return;
     }
     const wait_key key{attempt->rank(), attempt->deadline(), m_sequence++};
@@ -191,11 +207,11 @@
             attempt->onReturned();
             continue;
         }
-        send(*s, std::move(attempt));
+        send(*s, attempt);
     }
 }
 
-void server_pool::send(slot &s, std::shared_ptr<pool_attempt> attempt)
+void server_pool::send(slot &s, const std::shared_ptr<pool_attempt> &attempt)
 {
     const time_point now = m_loop.now();
     ++m_inFlight;
--- a/lib/query/engine_state.cpp
+++ b/lib/query/engine_state.cpp
@@ -95,6 +95,13 @@
     // Queries and their attempts refer to each other.
     for (const auto &query : active)
         query->drop();
+    // Attempts in flight refer to their server, which owns the connections that carry them.
+    for (const auto &entry : servers)
+        entry.second->pool.reset();
+    for (const auto &entry : m_retired) {
+        if (const auto server = entry.lock())
+            server->pool.reset();
+    }
 }
 
 void engine_state::report(event_kind kind, const query_request *request, std::string text) const
@@ -168,8 +175,12 @@
         }
         // Attempts in flight keep the object until their replies have come.
         it->second->stopWork();
+        m_retired.push_back(it->second);
         it = servers.erase(it);
     }
+    m_retired.erase(std::remove_if(m_retired.begin(), m_retired.end(),
+                                   [](const auto &entry) { return entry.expired(); }),
+                    m_retired.end());
     for (const auto &[id, record] : known) {
         auto &server = servers[id];
         if (!server)
@@ -180,6 +191,8 @@
     }
     for (auto it = m_leaving.begin(); it != m_leaving.end();)
         it = known.count(it->first) == 0 ? m_leaving.erase(it) : std::next(it);
+    // Queries that ended meanwhile may have led to plans of the half-updated table.
+    ++m_epoch;
     updateShares();
 }
 
--- a/lib/query/engine_state.h
+++ b/lib/query/engine_state.h
@@ -14,6 +14,7 @@
 #include <set>
 #include <string>
 #include <unordered_set>
+#include <vector>
 
 namespace peridotwheel {
 
@@ -86,6 +87,9 @@
     /// End of the last time span in which this process did not run.
     time_point stalledUntil{};
 
+    /// Scratch of the selection in progress.
+    std::vector<selection_candidate> candidates;
+
 private:
     std::shared_ptr<backend_server> makeServer(const server_record &record);
     void onUnresponsive(backend_server &server);
@@ -95,6 +99,8 @@
     void scheduleTick();
 
     std::uint64_t m_epoch = 1;
+    /// Servers that left the table and may still have attempts in flight.
+    std::vector<std::weak_ptr<backend_server>> m_retired;
     std::map<index_version, scatter_plan_ptr> m_plans;
     std::map<service_name, scatter_plan_ptr> m_plainPlans;
     std::set<std::pair<server_id, start_id>> m_leaving;
--- a/lib/query/merge.cpp
+++ b/lib/query/merge.cpp
@@ -103,7 +103,8 @@
     if (open == m_open.end())
         return merge_verdict::ForeignAttempt;
     const open_attempt closed = std::move(*open);
-    m_open.erase(open);
+    *open = std::move(m_open.back());
+    m_open.pop_back();
     if (closed.plain)
         return takePlain(closed.shards.front(), reply.body);
     const auto &expected = closed.shards;
--- a/lib/query/running_query.cpp
+++ b/lib/query/running_query.cpp
@@ -155,7 +155,8 @@
         if (!g.done && !failGroup(i, failure_cause::MayHaveRun))
             return;
     }
-    withdrawNeedless();
+    if (m_hasExtra)
+        withdrawNeedless();
 }
 
 void running_query::onReturned(attempt &a)
--- a/lib/query/running_query.h
+++ b/lib/query/running_query.h
@@ -113,6 +113,8 @@
     bool m_restarted = false;
     bool m_anySent = false;
     bool m_ranSomewhere = false;
+    /// Some shards may have more than one attempt.
+    bool m_hasExtra = false;
 };
 
 } // namespace peridotwheel
--- a/lib/query/running_query_scatter.cpp
+++ b/lib/query/running_query_scatter.cpp
@@ -16,8 +16,8 @@
 std::shared_ptr<backend_server>
 running_query::chooseServer(const group_state &g, std::uint64_t scatter, attempt_kind kind)
 {
-    std::vector<selection_candidate> candidates;
-    candidates.reserve(g.group->replicas.size());
+    auto &candidates = m_state.candidates;
+    candidates.clear();
     for (const auto &server : g.group->replicas) {
         const bool tried = std::find(g.tried.begin(), g.tried.end(), server.get()) != g.tried.end();
         const bool avoid = kind == attempt_kind::Hedge && server->stats.suspect();
@@ -87,6 +87,7 @@
             m_merge->expect(a->id, a->shards);
         }
         if (a->kind != attempt_kind::First) {
+            m_hasExtra = true;
             const bool hedge = a->kind == attempt_kind::Hedge;
             m_state.report(hedge ? event_kind::Hedge : event_kind::Retry, &m_request,
                            "attempt=" + a->wireId() + " server=" + a->server->record.id.value());
