--- a/include/peridotwheel/limits/server_pool.h
+++ b/include/peridotwheel/limits/server_pool.h
@@ -6,6 +6,7 @@
 #include "peridotwheel/support/ids.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <tuple>
@@ -48,6 +49,9 @@
     server_pool &operator=(const server_pool &) = delete;
     ~server_pool();
 
+    /// Called when an open connection did not answer a health check in time.
+    std::function<void()> onUnresponsive;
+
     /// Connections allowed. Excess connections close once they are idle.
     void setShare(std::uint32_t share);
     /// Attempts in flight allowed.
@@ -55,6 +59,9 @@
     /// Stops opening connections and closes those that are idle.
     void close();
 
+    /// Drops all connections and attempts without calling back.
+    void reset();
+
     /// Sends at once if a connection is free; otherwise waits by rank, then deadline.
     void submit(std::shared_ptr<pool_attempt> attempt);
     /// Removes a waiting attempt; false if it is not waiting. Nothing is called back.
@@ -77,8 +84,8 @@
     bool hasIdle() const { return idleSlot() != nullptr; }
     /// Connections that may be open at present: the share, less after a refusal.
     std::uint32_t allowed() const;
-    /// The server could not be reached lately and no connection is open.
-    bool down() const { return m_down && established() == 0; }
+    /// The server could not be reached or refused lately, and no connection is open.
+    bool down() const;
 
 private:
     struct slot;
@@ -89,10 +96,11 @@
     void checkHealth(slot &s);
     void onHealth(slot &s, time_point started, const http_outcome &outcome);
     void onRefused(bool unreachable);
-    void send(slot &s, std::shared_ptr<pool_attempt> attempt);
+    void send(slot &s, const std::shared_ptr<pool_attempt> &attempt);
     void onOutcome(slot &s, http_outcome outcome);
     void remove(const slot &s);
     void trim();
+    void refreshIdle(time_point now);
     void returnExpired();
 
     event_loop &m_loop;
@@ -108,6 +116,7 @@
     time_point m_refusedUntil{};
     time_point m_openAfter{};
     duration m_openDelay{};
+    time_point m_lastUsed{};
     bool m_down = false;
     bool m_closed = false;
 };
--- a/lib/query/engine_state.cpp
+++ b/lib/query/engine_state.cpp
@@ -14,6 +14,13 @@
 constexpr duration maintenanceInterval = milliseconds(100);
 /// A tick that is this late means that the process did not run.
 constexpr duration stallThreshold = milliseconds(100);
+/// Longer than any health check takes.
+constexpr duration stallForgiveness = seconds(1);
+/// Connections of a server that has been silent for this long are given up, so that probes find a
+/// free one.
+constexpr duration hopelessAfter = seconds(1);
+/// Slowdown assumed while most servers are silent: that is a common cause, not the servers' own.
+constexpr double silentSlowdown = 6.0;
 /// Latencies assumed before the first reply; only their order matters.
 constexpr duration nearPrior = milliseconds(10);
 constexpr duration farPrior = milliseconds(30);
@@ -88,6 +95,13 @@
     // Queries and their attempts refer to each other.
     for (const auto &query : active)
         query->drop();
+    // Attempts in flight refer to their server, which owns the connections that carry them.
+    for (const auto &entry : servers)
+        entry.second->pool.reset();
+    for (const auto &entry : m_retired) {
+        if (const auto server = entry.lock())
+            server->pool.reset();
+    }
 }
 
 void engine_state::report(event_kind kind, const query_request *request, std::string text) const
@@ -134,7 +148,18 @@
     if (!service)
         service = std::make_unique<service_stats>();
     const duration prior = record.dataCentre == dataCentre ? nearPrior : farPrior;
-    return std::make_shared<backend_server>(loop, connector, record, *service, prior);
+    auto server = std::make_shared<backend_server>(loop, connector, record, *service, prior);
+    server->pool.onUnresponsive = [this, raw = server.get()] { onUnresponsive(*raw); };
+    return server;
+}
+
+void engine_state::onUnresponsive(backend_server &server)
+{
+    const time_point now = loop.now();
+    noticeTime(now);
+    // A health check that spans a pause of this process times out through no fault of the server.
+    if (now - stalledUntil >= stallForgiveness)
+        server.stats.distrust(now);
 }
 
 void engine_state::updateServers()
@@ -150,8 +175,12 @@
         }
         // Attempts in flight keep the object until their replies have come.
         it->second->stopWork();
+        m_retired.push_back(it->second);
         it = servers.erase(it);
     }
+    m_retired.erase(std::remove_if(m_retired.begin(), m_retired.end(),
+                                   [](const auto &entry) { return entry.expired(); }),
+                    m_retired.end());
     for (const auto &[id, record] : known) {
         auto &server = servers[id];
         if (!server)
@@ -162,6 +191,8 @@
     }
     for (auto it = m_leaving.begin(); it != m_leaving.end();)
         it = known.count(it->first) == 0 ? m_leaving.erase(it) : std::next(it);
+    // Queries that ended meanwhile may have led to plans of the half-updated table.
+    ++m_epoch;
     updateShares();
 }
 
@@ -238,8 +269,11 @@
         return;
     for (const auto &waiting : server.pool.inFlightAttempts()) {
         auto &stuck = static_cast<attempt &>(*waiting);
-        if (stuck.query() != nullptr)
+        if (stuck.query() != nullptr) {
             stuck.query()->onStuck(stuck);
+        } else if (server.stats.suspectFor(now) >= hopelessAfter) {
+            stuck.abandon();
+        }
     }
 }
 
@@ -266,7 +300,12 @@
         slowdown += service->slowdown();
         ++measured;
     }
-    const double ratio = measured > 0 ? slowdown / measured : 1.0;
+    double ratio = measured > 0 ? slowdown / measured : 1.0;
+    const auto silent = std::count_if(servers.begin(), servers.end(), [](const auto &entry) {
+        return entry.second->stats.suspect();
+    });
+    if (2 * static_cast<std::size_t>(silent) > servers.size())
+        ratio = std::max(ratio, silentSlowdown);
     hedges.setSlowdown(ratio);
     retries.setSlowdown(ratio);
     updateConcurrency();
--- a/lib/routing/server_stats.cpp
+++ b/lib/routing/server_stats.cpp
@@ -9,12 +9,18 @@
 namespace {
 
 constexpr double averageWeight = 0.1;
+/// Longer samples count as this much: one straggler in a hundred must not turn the work away from a
+/// server, while a lasting slowdown still shows after a few replies.
+constexpr double outlierFactor = 2.0;
+constexpr double outlierMarginUs = 5000;
 constexpr double errorWeight = 0.2;
 /// The average of an unused server approaches its floor with this half-life.
 constexpr double averageHalfLifeUs = 1e6;
 constexpr double errorHalfLifeUs = 2e6;
 /// The floor rises by this share per second, so that it follows a lasting change of speed.
 constexpr double floorRisePerSecond = 0.02;
+/// A server that answered a probe is used again, carefully, whatever failed before.
+constexpr double recoveredErrorRate = 0.1;
 constexpr std::uint32_t failuresForSuspicion = 3;
 /// The first probe comes soon because the suspicion may be false; later ones double up to the
 /// longest interval.
@@ -54,15 +60,18 @@
 void server_stats::onReply(duration latency, time_point now)
 {
     settle(now);
-    const double sample = micros(latency);
     const double sinceSample = micros(now - m_lastSample);
     const double current = micros(expectedLatency(now));
+    const double longest = current * outlierFactor + outlierMarginUs;
+    const double sample = m_replies == 0 ? micros(latency) : std::min(micros(latency), longest);
     // The first replies replace the prior quickly.
     const double weight = std::max(averageWeight, 1.0 / static_cast<double>(m_replies + 1));
     m_average = current + weight * (sample - current);
     const double risen = m_floor * (1 + floorRisePerSecond * sinceSample / 1e6);
     m_floor = m_replies == 0 ? m_average : std::min(std::max(risen, 1.0), m_average);
     m_errorRate = errorRate(now) * (1 - errorWeight);
+    if (m_suspect)
+        m_errorRate = std::min(m_errorRate, recoveredErrorRate);
     m_lastError = now;
     m_lastSample = now;
     ++m_replies;
