Bound every open connection and the time of slow senders

Cause: evhttp reports neither an accepted connection nor the end of one that never sent a request, so silent connections escaped the bound, and a byte now and then kept a connection for ever.

A table holds every connection from acceptance on; beyond the bound the one idle for longest is closed, and a full request must arrive within the idle timeout. Waiting requests are bounded too.

--- a/include/peridotwheel/http/http_server.h
+++ b/include/peridotwheel/http/http_server.h
@@ -18,8 +18,13 @@
 {
     std::size_t maxBodyBytes = 64 * 1024;
     std::size_t maxHeaderBytes = 8 * 1024;
+    /// Open connections, with or without a request. Beyond them the connection that has been idle
+    /// for longest is closed in favour of the new one.
     std::size_t maxConnections = 1024;
-    /// A connection that is idle or stalls within a request for this long is closed.
+    /// Requests that wait for their reply.
+    std::size_t maxWaitingRequests = 512;
+    /// A connection is closed if it sends no full request, or does not take a reply, for this long,
+    /// even if single bytes arrive.
     duration idleTimeout = seconds(30);
 };
 
--- a/include/peridotwheel/status/status_text.h
+++ b/include/peridotwheel/status/status_text.h
@@ -61,7 +61,7 @@
 /// What the instance could find out about a request that it has not seen itself.
 enum class claim_search {
     NotFound,    ///< The claim store was asked and returned no record.
-    Unreachable, ///< The platform is unreachable, so the claim store could not be asked.
+    Unreachable, ///< The claim store could not be asked or did not answer in time.
     NotAsked,    ///< This instance has no access to the claim store.
 };
 
--- /dev/null
+++ b/lib/http/connection_table.cpp
@@ -0,0 +1,116 @@
+#include "connection_table.h"
+
+#include <event2/bufferevent.h>
+#include <sys/socket.h>
+
+namespace peridotwheel {
+
+namespace {
+
+/// A sweep is linear in the connections, so a flood of new connections causes no more than one in
+/// this time.
+constexpr duration minSweepInterval = milliseconds(10);
+
+bool releasedByEvhttp(bufferevent *connection)
+{
+    bufferevent_event_cb onEvent = nullptr;
+    bufferevent_getcb(connection, nullptr, nullptr, &onEvent, nullptr);
+    return onEvent == nullptr;
+}
+
+} // namespace
+
+connection_table::~connection_table()
+{
+    clear();
+}
+
+void connection_table::clear()
+{
+    for (const auto &[connection, r] : m_records)
+        bufferevent_decref(connection);
+    m_records.clear();
+    m_idle.clear();
+    m_closing = 0;
+}
+
+void connection_table::add(bufferevent *connection, time_point now)
+{
+    if (open() >= m_max && now - m_sweptAt >= minSweepInterval)
+        sweep(now);
+    if (open() >= m_max)
+        closeOldestIdle();
+    bufferevent_incref(connection);
+    record &r = m_records[connection];
+    r.idleSince = now;
+    r.position = m_idle.insert(m_idle.end(), connection);
+}
+
+void connection_table::markBusy(bufferevent *connection)
+{
+    const auto it = m_records.find(connection);
+    if (it == m_records.end() || it->second.busy || it->second.closing)
+        return;
+    it->second.busy = true;
+    m_idle.erase(it->second.position);
+}
+
+void connection_table::markIdle(bufferevent *connection, time_point now)
+{
+    const auto it = m_records.find(connection);
+    if (it == m_records.end() || !it->second.busy)
+        return;
+    it->second.busy = false;
+    it->second.idleSince = now;
+    it->second.position = m_idle.insert(m_idle.end(), connection);
+}
+
+void connection_table::closeOldestIdle()
+{
+    if (m_idle.empty())
+        return;
+    bufferevent *connection = m_idle.front();
+    m_idle.pop_front();
+    if (releasedByEvhttp(connection)) {
+        // Its descriptor is closed and may already belong to another connection.
+        m_records.erase(connection);
+        bufferevent_decref(connection);
+        return;
+    }
+    m_records.at(connection).closing = true;
+    ++m_closing;
+    // evhttp sees the end of the stream and frees the connection by its normal path.
+    shutdown(bufferevent_getfd(connection), SHUT_RDWR);
+}
+
+void connection_table::forgetReleased()
+{
+    for (auto it = m_records.begin(); it != m_records.end();) {
+        bufferevent *connection = it->first;
+        if (!releasedByEvhttp(connection)) {
+            ++it;
+            continue;
+        }
+        const record &r = it->second;
+        if (r.closing)
+            --m_closing;
+        if (!r.closing && !r.busy)
+            m_idle.erase(r.position);
+        it = m_records.erase(it);
+        bufferevent_decref(connection);
+    }
+}
+
+void connection_table::sweep(time_point now)
+{
+    m_sweptAt = now;
+    forgetReleased();
+    while (!m_idle.empty()) {
+        const bool tooLong = now - m_records.at(m_idle.front()).idleSince >= m_idleTimeout;
+        if (!tooLong && open() <= m_max)
+            return;
+        closeOldestIdle();
+    }
+}
+
+} // namespace peridotwheel
--- a/lib/http/http_server.cpp
+++ b/lib/http/http_server.cpp
@@ -1,10 +1,12 @@
 #include "peridotwheel/http/http_server.h"
 
+#include "connection_table.h"
 #include "evhttp_message.h"
 #include "peridotwheel/support/libevent_loop.h"
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <set>
 #include <sys/socket.h>
 
@@ -17,8 +19,15 @@
 /// What responders share with their server, which may go first.
 struct server_state
 {
+    server_state(libevent_loop &l, const http_server_limits &limits)
+        : loop(l)
+        , connections(limits.maxConnections, limits.idleTimeout)
+    {
+    }
+
+    libevent_loop &loop;
     std::set<evhttp_responder *> pending;
-    std::set<evhttp_connection *> connections;
+    connection_table connections;
 };
 
 class evhttp_responder : public http_responder
@@ -61,6 +70,11 @@
     m_request = nullptr;
     m_clientGone = nullptr;
     m_state->pending.erase(this);
+    evhttp_connection *connection = req == nullptr ? nullptr : evhttp_request_get_connection(req);
+    if (connection != nullptr) {
+        m_state->connections.markIdle(evhttp_connection_get_bufferevent(connection),
+                                      m_state->loop.now());
+    }
     return req;
 }
 
@@ -101,7 +115,8 @@
     impl(libevent_loop &loop, http_server_limits limits, request_hook onRequest)
         : m_limits(limits)
         , m_onRequest(std::move(onRequest))
-        , m_state(std::make_shared<server_state>())
+        , m_loop(loop)
+        , m_state(std::make_shared<server_state>(loop, limits))
         , m_http(evhttp_new(loop.base()))
     {
         evhttp_set_max_body_size(m_http.get(), static_cast<ev_ssize_t>(limits.maxBodyBytes));
@@ -110,7 +125,9 @@
                                                          EVHTTP_REQ_DELETE);
         const timeval tv = toTimeval(limits.idleTimeout);
         evhttp_set_timeout_tv(m_http.get(), &tv);
+        evhttp_set_bevcb(m_http.get(), &impl::newConnection, this);
         evhttp_set_gencb(m_http.get(), &impl::onRequest, this);
+        sweepLater();
     }
 
     ~impl()
@@ -118,24 +135,33 @@
         for (auto *responder : m_state->pending)
             responder->forgetRequest();
         m_http.reset();
+        m_state->connections.clear();
     }
 
     result<void> listen(const endpoint &at);
     void stopListening();
     std::uint16_t port() const { return m_port; }
-    std::size_t openConnections() const { return m_state->connections.size(); }
+    std::size_t openConnections()
+    {
+        m_state->connections.sweep(m_loop.now());
+        return m_state->connections.open();
+    }
     std::size_t inFlight() const { return m_state->pending.size(); }
 
 private:
     static void onRequest(evhttp_request *req, void *arg);
     static void onClosed(evhttp_connection *connection, void *arg);
+    static bufferevent *newConnection(event_base *base, void *arg);
+    void sweepLater();
 
     http_server_limits m_limits;
     request_hook m_onRequest;
+    libevent_loop &m_loop;
     std::shared_ptr<server_state> m_state;
     evhttp_ptr m_http;
     evhttp_bound_socket *m_socket = nullptr;
     std::uint16_t m_port = 0;
+    timer m_sweep;
 };
 
 result<void> http_server::impl::listen(const endpoint &at)
@@ -164,13 +190,13 @@
 {
     auto *self = static_cast<impl *>(arg);
     evhttp_connection *connection = evhttp_request_get_connection(req);
-    if (self->m_state->connections.insert(connection).second)
-        evhttp_connection_set_closecb(connection, &impl::onClosed, arg);
+    evhttp_connection_set_closecb(connection, &impl::onClosed, arg);
+    self->m_state->connections.markBusy(evhttp_connection_get_bufferevent(connection));
     auto responder = std::make_shared<evhttp_responder>(self->m_state, req);
-    if (self->m_state->connections.size() > self->m_limits.maxConnections) {
+    if (self->m_state->pending.size() > self->m_limits.maxWaitingRequests) {
         responder->reply({503,
-                          {{"Connection", "close"}, {"X-Not-Run", "1"}},
-                          "too many connections, not run; reuse connections or try later\n"});
+                          {{"Connection", "close"}, {"X-Not-Run", "1"}, {"Retry-After", "1"}},
+                          "too many waiting requests, not run; retry after a second\n"});
         return;
     }
     http_request request;
@@ -184,7 +210,6 @@
 void http_server::impl::onClosed(evhttp_connection *connection, void *arg)
 {
     auto *self = static_cast<impl *>(arg);
-    self->m_state->connections.erase(connection);
     const auto pending = self->m_state->pending;
     for (auto *responder : pending) {
         auto *req = responder->request();
@@ -193,6 +218,24 @@
     }
 }
 
+bufferevent *http_server::impl::newConnection(event_base *base, void *arg)
+{
+    auto *self = static_cast<impl *>(arg);
+    bufferevent *connection = bufferevent_socket_new(base, -1, 0);
+    if (connection != nullptr)
+        self->m_state->connections.add(connection, self->m_loop.now());
+    return connection;
+}
+
+void http_server::impl::sweepLater()
+{
+    // A quarter of the timeout bounds how much longer than it a connection may last.
+    m_sweep = m_loop.schedule(m_limits.idleTimeout / 4, [this] {
+        m_state->connections.sweep(m_loop.now());
+        sweepLater();
+    });
+}
+
 http_server::http_server(libevent_loop &loop, http_server_limits limits, request_hook onRequest)
     : m_impl(std::make_unique<impl>(loop, limits, std::move(onRequest)))
 {
--- a/lib/status/status_text.cpp
+++ b/lib/status/status_text.cpp
@@ -78,9 +78,11 @@
 
 void requestLines(line_writer &out, const request_status &status)
 {
-    out.line("request", status.id.value());
+    out.line("request", orDash(status.id.value()));
     out.line("class", orDash(status.className.value()));
-    out.line("repeatable", status.repeatable ? "yes" : "no");
+    const bool refusedInput = status.answer && status.answer->kind == answer_kind::RefusedInput;
+    const char *repeatable = status.repeatable ? "yes" : "no";
+    out.line("repeatable", refusedInput ? "-" : repeatable);
     if (!status.answer) {
         out.line("state", "in-progress");
         out.line("ran", toString(ran_state::Unknown));
@@ -178,14 +180,15 @@
 advice adviseOn(const query_answer &answer, bool repeatable, double coverageTarget)
 {
     const bool enough = answer.covered.share() >= coverageTarget;
+    const bool ranForSure = repeatable || answer.ran == ran_state::Yes;
     if (answer.kind == answer_kind::Complete)
-        return {verdict::Done, {}};
+        return {ranForSure ? verdict::Done : verdict::GiveUp, {}};
     if (answer.kind == answer_kind::RefusedInput)
         return {verdict::GiveUp, {}};
     if (answer.kind == answer_kind::InProgress)
         return {verdict::Wait, answer.retryAfter.value_or(defaultWaitDelay)};
     if (answer.kind == answer_kind::Partial && (enough || !repeatable))
-        return {answer.ran == ran_state::Yes || repeatable ? verdict::Done : verdict::GiveUp, {}};
+        return {ranForSure ? verdict::Done : verdict::GiveUp, {}};
     if (!repeatable && mayHaveRun(answer))
         return {verdict::GiveUp, {}};
     const bool needsPlatform = answer.kind == answer_kind::RefusedClaim;
@@ -234,8 +237,8 @@
     const char *detail = "not seen by this instance lately and no claim record was returned; a "
                          "repeatable request may be sent again; check the effect of any other";
     if (search == claim_search::Unreachable) {
-        detail = "not seen by this instance lately and the platform is unreachable; a repeatable "
-                 "request may be sent again; ask again later about any other";
+        detail = "not seen by this instance lately and the claim store could not be asked; a "
+                 "repeatable request may be sent again; ask again later about any other";
     }
     if (search == claim_search::NotAsked) {
         detail = "not seen by this instance lately; a repeatable request may be sent again; check "
