Test the control plane under loss, partition, pause and restart

Property and fault tests of the merge rules, adoption, watchers and exchange on a simulated network, with a small fix in the membership controller.

--- a/include/peridotwheel/membership/update_queue.h
+++ b/include/peridotwheel/membership/update_queue.h
@@ -1,6 +1,7 @@
 #ifndef PERIDOTWHEEL_MEMBERSHIP_UPDATE_QUEUE_H
 #define PERIDOTWHEEL_MEMBERSHIP_UPDATE_QUEUE_H
 
+#include <algorithm>
 #include <cstddef>
 #include <deque>
 #include <map>
--- a/lib/membership/membership_controller.cpp
+++ b/lib/membership/membership_controller.cpp
@@ -24,7 +24,8 @@
     , m_options(options)
     , m_this(std::make_shared<membership_controller *>(this))
 {
-    const auto wall = loop.wallNow().time_since_epoch().count();
+    // A clock before the epoch must not turn into the highest of all incarnations.
+    const auto wall = std::max<std::int64_t>(loop.wallNow().time_since_epoch().count(), 0);
     m_self.incarnation = std::max(m_self.incarnation, static_cast<std::uint64_t>(wall));
     m_self.state = member_state::Alive;
     m_self.since = loop.now();
--- /dev/null
+++ b/unittests/entry/control_plane_test.cpp
@@ -0,0 +1,198 @@
+#include "fleet_fixture.h"
+
+using namespace peridotwheel;
+
+namespace {
+
+bool knowsLeaving(const fleet_instance &i, const std::string &server)
+{
+    const auto &servers = i.board.servers.value();
+    const auto it = servers.find(server_id(server));
+    return it != servers.end() && it->second.leaving;
+}
+
+server_record cardServer(const std::string &id)
+{
+    server_record s;
+    s.id = server_id(id);
+    s.start = start_id(42);
+    s.service = service_name("cards");
+    s.dataCentre = data_centre_id("dc1");
+    s.address = {"127.0.1.50", 9000};
+    s.connectionLimit = 25;
+    return s;
+}
+
+} // namespace
+
+// Guards against a version that reverts or never arrives when reads are stale and messages are lost
+// or overtake each other (I8: 2 s, that is 4 periods, on 9 instances).
+TEST(controlPlane, configurationConvergesAndNeverReverts)
+{
+    fleet f(9);
+    f.network.loss = 0.1;
+    f.platform.staleReads = 0.3;
+    for (int change = 0; change < 30; ++change) {
+        const auto v = f.storeConfiguration(100 + change);
+        EXPECT_LE(f.periodsUntil(4, f.hasConfiguration(v)), 4U) << "change " << change;
+        f.run(f.network.random.below(3));
+    }
+    EXPECT_FALSE(f.anyReverted());
+}
+
+// Guards against instances that depend on their own access to the platform.
+TEST(controlPlane, oneInformedPeerReachesAllWhileThePlatformIsDown)
+{
+    fleet f(9);
+    f.run(8);
+    f.platform.down = true;
+    f.run(4);
+    const auto v = f.storeConfiguration(140);
+    f.platform.down = false;
+    for (std::size_t i = 0; i < 9; ++i)
+        f.instances[i]->platform.cutOff = i != 4;
+    EXPECT_LE(f.periodsUntil(
+                      70,
+                      [&](const auto &i) { return &i != f.instances[4].get() || i.highest == v; }),
+              70U);
+    EXPECT_LE(f.periodsUntil(6, f.hasConfiguration(v)), 6U);
+}
+
+// Guards against a restarted instance without state that stays without configuration in an outage,
+// and against one that is kept out by news about its former life (its clock is an hour behind).
+TEST(controlPlane, restartWithEmptyStateDuringAnOutage)
+{
+    fleet f(9);
+    const auto v = f.storeConfiguration(140);
+    f.run(10);
+    f.platform.down = true;
+    f.kill(5);
+    f.run(20);
+    EXPECT_EQ(f.instances[3]->stateOf(f.id(5)), member_state::Dead);
+    f.start(5, 2, -std::chrono::hours(1));
+    EXPECT_LE(f.periodsUntil(24, f.seesAllAlive()), 24U);
+    EXPECT_EQ(f.instances[5]->highest, v);
+    EXPECT_FALSE(f.anyReverted());
+}
+
+// Guards against data centres that hold each other for dead for ever after a partition.
+TEST(controlPlane, partitionOfADataCentreHeals)
+{
+    fleet f(9);
+    f.run(10);
+    f.isolate(2);
+    for (std::size_t i = 3; i < 6; ++i)
+        f.instances[i]->platform.cutOff = true;
+    f.run(120);
+    EXPECT_EQ(f.instances[0]->stateOf(f.id(4)), member_state::Dead);
+    EXPECT_EQ(f.instances[3]->stateOf(f.id(4)), member_state::Alive);
+    const auto v = f.storeConfiguration(140);
+    f.run(4);
+    EXPECT_NE(f.instances[4]->highest, v);
+    f.network.cut = nullptr;
+    EXPECT_LE(f.periodsUntil(30, f.seesAllAlive()), 30U);
+    EXPECT_LE(f.periodsUntil(4, f.hasConfiguration(v)), 4U);
+}
+
+// Guards against an instance that wakes from a pause and takes its overdue timers for the death of
+// everybody else.
+TEST(controlPlane, aPausedInstanceDeclaresNobodyDeadOnWaking)
+{
+    fleet f(9);
+    f.run(10);
+    f.instances[0]->loop.pause();
+    f.run(60);
+    EXPECT_EQ(f.instances[1]->stateOf(f.id(0)), member_state::Dead);
+    f.instances[0]->loop.resume();
+    for (int n = 0; n < 30; ++n) {
+        f.run(1);
+        for (std::size_t i = 1; i < 9; ++i)
+            EXPECT_NE(f.instances[0]->stateOf(f.id(i)), member_state::Dead);
+    }
+    EXPECT_EQ(f.instances[0]->counters.at("membership.deaths").value(), 0U);
+    EXPECT_LE(f.periodsUntil(10, f.seesAllAlive()), 10U);
+}
+
+// Guards against live members that die of lost messages alone.
+TEST(controlPlane, lossAloneKillsNobody)
+{
+    fleet f(9);
+    f.network.loss = 0.15;
+    f.run(1200);
+    EXPECT_EQ(f.total("membership.deaths"), 0U);
+    EXPECT_GT(f.total("membership.suspicions"), 0U);
+}
+
+// Guards against dead peers that keep their connection share for ever, or lose it before others can
+// know of the death; and against a lagging list that revives them.
+TEST(controlPlane, aDeadPeerLeavesTheViewAfterTheHoldTime)
+{
+    fleet f(9);
+    f.run(10);
+    f.kill(8);
+    const auto knowsDead = [&](const auto &i) { return i.stateOf(f.id(8)) == member_state::Dead; };
+    const auto inView = [&] { return f.instances[0]->board.members.value().count(f.id(8)) != 0; };
+    EXPECT_LE(f.periodsUntil(24, knowsDead), 24U);
+    EXPECT_TRUE(inView());
+    f.run(60);
+    EXPECT_FALSE(inView());
+}
+
+// Guards against a leaving server that stays in use (I6: 3 s, that is 6 periods), and against a
+// stale list that takes the mark back.
+TEST(controlPlane, newsOfALeavingServerSpreadsWithinTheDataCentre)
+{
+    fleet f(9);
+    f.network.loss = 0.1;
+    f.platform.listed.servers = {cardServer("cards-1")};
+    f.run(30);
+    f.instances[1]->plane->noteServerLeaving(server_id("cards-1"), start_id(42));
+    f.run(3);
+    for (std::size_t i = 0; i < 3; ++i)
+        EXPECT_TRUE(knowsLeaving(*f.instances[i], "cards-1"));
+    f.run(100);
+    for (std::size_t i = 0; i < 9; ++i)
+        EXPECT_EQ(knowsLeaving(*f.instances[i], "cards-1"), i < 3);
+    // A new run of the server is not leaving, whatever is known about the former one.
+    f.platform.listed.servers[0].start = start_id(43);
+    f.run(30);
+    EXPECT_FALSE(knowsLeaving(*f.instances[1], "cards-1"));
+}
+
+TEST(controlPlane, gracefulShutdownIsKnownToPeersAndPlatform)
+{
+    fleet f(9);
+    f.platform.lostReplies = 0.3;
+    f.run(10);
+    bool confirmed = false;
+    f.instances[2]->plane->announceLeaving([&] { confirmed = true; });
+    EXPECT_LE(
+            f.periodsUntil(
+                    20, [&](const auto &i) { return i.stateOf(f.id(2)) == member_state::Leaving; }),
+            20U);
+    EXPECT_TRUE(confirmed);
+    const auto record = f.platform.current().find({"instances", "entry-2"});
+    ASSERT_NE(record, f.platform.current().end());
+    EXPECT_NE(record->second.value.find("\"leaving\""), std::string::npos);
+    f.instances[2]->plane->withdraw();
+    f.run(20);
+    EXPECT_EQ(f.platform.current().count({"instances", "entry-2"}), 0U);
+}
+
+// Guards against messages that grow with the fleet. The budget at full size is 22 KB/s per node.
+TEST(controlPlane, bytesPerInstanceDoNotGrowWithTheFleet)
+{
+    auto bytesPerSecond = [](std::size_t size, std::size_t perDataCentre) {
+        fleet f(size, 7, perDataCentre);
+        f.run(60);
+        const auto before = f.total("peer.bytes_sent") + f.total("peer.bytes_received");
+        f.run(60);
+        const auto after = f.total("peer.bytes_sent") + f.total("peer.bytes_received");
+        return static_cast<double>(after - before) / 30.0 / static_cast<double>(size);
+    };
+    const double small = bytesPerSecond(9, 3);
+    const double large = bytesPerSecond(72, 24);
+    std::cout << "bytes per second and instance: " << small << " of 9, " << large << " of 72\n";
+    EXPECT_LT(large, 1.5 * small);
+    EXPECT_LT(large, 22000);
+}
--- /dev/null
+++ b/unittests/platform/http_platform_client_test.cpp
@@ -0,0 +1,148 @@
+#include "peridotwheel/platform/http_platform_client.h"
+
+#include "peridotwheel/platform/platform_health_tracker.h"
+#include "peridotwheel/support/manual_loop.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace peridotwheel;
+
+namespace {
+
+/// Answers each request at once with the next outcome, and keeps the request.
+struct scripted_http : http_client
+{
+    void send(const endpoint &, const http_request &request, duration, outcome_hook done) override
+    {
+        last = request;
+        done(next);
+    }
+    void answer(int status, const std::string &body)
+    {
+        next = {transport_failure::None, {status, {}, body}};
+    }
+    http_request last;
+    http_outcome next;
+};
+
+struct platformClient : testing::Test
+{
+    scripted_http http;
+    http_platform_client client{http, {{"127.0.1.9", 80}, data_centre_id("dc1")}};
+
+    error_kind putError()
+    {
+        error_kind kind{};
+        client.put({"claims", "a"}, "{}", write_condition::absent(),
+                   [&](const auto &r) { kind = r.error().kind; });
+        return kind;
+    }
+};
+
+const char *const instanceListText =
+        R"({"instances":[{"id":"entry-1","start":18446744073709551615,"dataCentre":"dc1",
+        "peers":"127.0.1.1:70","operators":"127.0.1.1:71","state":"leaving"}],
+        "servers":[{"id":"cards-1","start":7,"service":"cards","sharded":false,"dataCentre":"dc2",
+        "address":"127.0.2.1:90","connectionLimit":25,"state":"live"}]})";
+
+} // namespace
+
+TEST_F(platformClient, writesTheConditionAndEncodesNames)
+{
+    http.answer(200, R"({"version":8})");
+    object_version written;
+    client.put({"claims", "a/b c"}, R"({"x":1})", write_condition::at(object_version(7)),
+               [&](const auto &r) { written = r.value(); });
+    EXPECT_EQ(http.last.path, "/objects/claims/a%2Fb%20c");
+    EXPECT_EQ(*http.last.header("If-Match"), "7");
+    EXPECT_EQ(*http.last.header("X-Data-Centre"), "dc1");
+    EXPECT_EQ(http.last.body, R"({"x":1})");
+    EXPECT_EQ(written, object_version(8));
+    client.put({"claims", "a"}, "{}", write_condition::absent(), [](const auto &) {});
+    EXPECT_EQ(*http.last.header("If-None-Match"), "*");
+}
+
+TEST_F(platformClient, readsObjectsWatchesAndTheInstanceList)
+{
+    http.answer(200, R"({"next":9,"changed":[{"name":"n","version":8,"value":{"a":[1]}}],
+                         "removed":["gone"]})");
+    client.watch("claims", object_version(5), seconds(3), [](const auto &r) {
+        ASSERT_TRUE(r.has_value());
+        EXPECT_EQ(r.value().next, object_version(9));
+        EXPECT_EQ(r.value().changed.at(0).value, R"({"a":[1]})");
+        EXPECT_EQ(r.value().removed.at(0).name, "gone");
+    });
+    EXPECT_EQ(http.last.path, "/watch/claims?since=5&timeoutMs=3000");
+    http.answer(410, "");
+    client.watch("claims", object_version(5), seconds(3),
+                 [](const auto &r) { EXPECT_TRUE(r.value().compacted); });
+    http.answer(200, instanceListText);
+    client.instances([](const auto &r) {
+        ASSERT_TRUE(r.has_value()) << r.error().message;
+        EXPECT_EQ(r.value().instances.at(0).start, start_id(~std::uint64_t{0}));
+        EXPECT_EQ(r.value().instances.at(0).state, member_state::Leaving);
+        EXPECT_FALSE(r.value().servers.at(0).sharded);
+        EXPECT_EQ(r.value().servers.at(0).address, (endpoint{"127.0.2.1", 90}));
+    });
+}
+
+// Guards against a write that is taken for "without effect" although it may have taken effect.
+TEST_F(platformClient, aWriteIsWithoutEffectOnlyIfThatIsCertain)
+{
+    http.next = {transport_failure::NotSent, {}};
+    EXPECT_EQ(putError(), error_kind::Unavailable);
+    http.next = {transport_failure::MayHaveRun, {}};
+    EXPECT_EQ(putError(), error_kind::OutcomeUnknown);
+    http.answer(503, "");
+    EXPECT_EQ(putError(), error_kind::OutcomeUnknown);
+    http.answer(200, "garbage");
+    EXPECT_EQ(putError(), error_kind::OutcomeUnknown);
+    http.answer(412, R"({"version":3,"value":1})");
+    EXPECT_EQ(putError(), error_kind::Conflict);
+    http.answer(404, "");
+    client.get({"claims", "a"},
+               [](const auto &r) { EXPECT_EQ(r.error().kind, error_kind::NotFound); });
+}
+
+// Guards against crashes on deep nesting, where serialising would exhaust the stack.
+TEST_F(platformClient, refusesDeepNesting)
+{
+    http.answer(200, R"({"version":1,"value":)" + std::string(1000000, '['));
+    client.get({"claims", "a"}, [](const auto &r) { EXPECT_FALSE(r.has_value()); });
+    http.answer(200, R"({"version":1,"value":)" + std::string(100000, '[') +
+                             std::string(100000, ']') + "}");
+    client.get({"claims", "a"}, [](const auto &r) { EXPECT_FALSE(r.has_value()); });
+}
+
+// Guards against crashes on malformed replies: each is an error or a value.
+RC_GTEST_FIXTURE_PROP(platformClient, survivesDamagedReplies, (std::size_t at, char replacement))
+{
+    std::string text = instanceListText;
+    text[at % text.size()] = replacement;
+    http.answer(200, text);
+    int answers = 0;
+    client.instances([&](const auto &) { ++answers; });
+    client.list("claims", [&](const auto &) { ++answers; });
+    client.get({"claims", "a"}, [&](const auto &) { ++answers; });
+    RC_ASSERT(answers == 3);
+}
+
+// Guards against an outage that is reported after a single failed call, or dated too late.
+TEST(platformHealth, isLostAfterTwoFailuresAndDatedFromTheFirst)
+{
+    manual_loop loop;
+    blackboard board;
+    platform_health_tracker tracker(loop, board, nullptr);
+    tracker.note(true);
+    EXPECT_TRUE(board.platformHealth.value().reachable);
+    const auto first = loop.wallNow();
+    tracker.note(false);
+    EXPECT_TRUE(board.platformHealth.value().reachable);
+    loop.advance(seconds(5));
+    tracker.note(false);
+    EXPECT_FALSE(board.platformHealth.value().reachable);
+    EXPECT_EQ(board.platformHealth.value().since, first);
+    tracker.note(true);
+    EXPECT_TRUE(board.platformHealth.value().reachable);
+}
