--- a/include/peridotwheel/routing/snapshot_controller.h
+++ b/include/peridotwheel/routing/snapshot_controller.h
@@ -41,7 +41,7 @@
 private:
     void onObjects(const std::vector<platform_object> &objects);
     void onMap(const platform_object &object);
-    void adopt(const shard_map_ptr &map, version_source source);
+    void adopt(shard_map_ptr map, version_source source);
     void adoptWanted();
     void fetchWanted();
     void onFetched(index_version asked);
--- a/lib/routing/snapshot_controller.cpp
+++ b/lib/routing/snapshot_controller.cpp
@@ -141,19 +141,21 @@
     return true;
 }
 
-void snapshot_controller::adopt(const shard_map_ptr &map, version_source source)
+// By value: the pointer passed may be in `m_published`, from which it is removed here.
+void snapshot_controller::adopt(shard_map_ptr map, version_source source)
 {
     snapshot_set next = m_board.snapshots.value();
     const index_version v = map->version;
-    next.current = map;
+    const std::size_t shards = map->shards.size();
+    m_text = toJson(*map);
     next.retained[v] = map;
+    next.current = std::move(map);
     while (next.retained.size() > retainedMaps)
         next.retained.erase(next.retained.begin());
     m_published.erase(m_published.begin(), m_published.upper_bound(v));
-    m_text = toJson(*map);
     m_adopted.add();
     m_board.snapshots.set(std::move(next));
-    LOG(INFO) << "event=snapshot-adopted version=" << v << " shards=" << map->shards.size();
+    LOG(INFO) << "event=snapshot-adopted version=" << v << " shards=" << shards;
     if (m_events) {
         timeline_event event;
         event.kind = event_kind::Snapshot;
--- a/unittests/configuration/configuration_test.cpp
+++ b/unittests/configuration/configuration_test.cpp
@@ -32,7 +32,7 @@
     return valid ? "" : valid.error().message;
 }
 
-struct configurationWriter : testing::Test
+struct configuration_writer_fixture : testing::Test
 {
     manual_loop loop;
     fake_platform platform{loop, 11};
@@ -103,7 +103,7 @@
 }
 
 // Guards against a change that is written twice, or reported as failed, when its reply was lost.
-TEST_F(configurationWriter, aLostReplyIsSettledByReadingBack)
+TEST_F(configuration_writer_fixture, aLostReplyIsSettledByReadingBack)
 {
     platform.lostReplies = 1.0;
     const auto written = write(setClassChange(spec("bookings", 2)));
@@ -112,7 +112,7 @@
     EXPECT_EQ(stored().changes.size(), 1U);
 }
 
-TEST_F(configurationWriter, reportsAnUnknownOutcomeIfItCannotReadBack)
+TEST_F(configuration_writer_fixture, reportsAnUnknownOutcomeIfItCannotReadBack)
 {
     platform.lostReplies = 1.0;
     result<object_version> out = object_version();
@@ -127,7 +127,7 @@
 
 // Guards against one operator silently overwriting the other (same class), and against needless
 // conflicts (different classes).
-TEST_F(configurationWriter, operatorsRacingGetOneWinnerPerClass)
+TEST_F(configuration_writer_fixture, operatorsRacingGetOneWinnerPerClass)
 {
     std::vector<result<object_version>> outcomes;
     auto record = [&](const auto &r) { outcomes.push_back(r); };
@@ -150,14 +150,14 @@
 }
 
 // Guards against a document without an end: the records of changes are bounded.
-TEST_F(configurationWriter, keepsTheLatestChangeRecordsOnly)
+TEST_F(configuration_writer_fixture, keepsTheLatestChangeRecordsOnly)
 {
     for (int i = 0; i < 70; ++i)
         ASSERT_TRUE(write(setClassChange(spec("lessons", 1, 100 + i))).has_value());
     EXPECT_EQ(stored().changes.size(), maxChangeRecords);
 }
 
-TEST_F(configurationWriter, refusesWhatIsInvalidBeforeWriting)
+TEST_F(configuration_writer_fixture, refusesWhatIsInvalidBeforeWriting)
 {
     const auto before = stored().version;
     EXPECT_EQ(write(setClassChange(spec("lessons", 0))).error().kind, error_kind::InvalidArgument);
--- a/unittests/entry/control_plane_test.cpp
+++ b/unittests/entry/control_plane_test.cpp
@@ -196,3 +196,64 @@
     EXPECT_LT(large, 1.5 * small);
     EXPECT_LT(large, 22000);
 }
+
+// Guards against rules that hold only for one order of events: random faults of all kinds, several
+// seeds, and convergence after the last one.
+TEST(controlPlane, convergesAfterRandomFaults)
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        fleet f(9, seed);
+        auto &random = f.network.random;
+        std::uint64_t starts = 1;
+        for (int event = 0; event < 40; ++event) {
+            const std::size_t i = random.below(9);
+            f.network.loss = 0.2 * random.fraction();
+            f.platform.staleReads = 0.5 * random.fraction();
+            f.platform.lostReplies = 0.5 * random.fraction();
+            f.platform.down = random.below(4) == 0;
+            f.network.cut = nullptr;
+            if (random.below(4) == 0)
+                f.isolate(1 + static_cast<int>(random.below(3)));
+            if (random.below(3) == 0) {
+                f.kill(i);
+                f.run(random.below(30));
+                f.start(i, ++starts, seconds(static_cast<int>(random.below(60)) - 30));
+            }
+            f.instances[i]->loop.pause();
+            f.storeConfiguration(100 + event);
+            f.run(random.below(30));
+            f.instances[i]->loop.resume();
+            f.run(random.below(4));
+            EXPECT_FALSE(f.anyReverted());
+        }
+        f.network.cut = nullptr;
+        f.network.loss = f.platform.staleReads = f.platform.lostReplies = 0;
+        f.platform.down = false;
+        const auto v = f.storeConfiguration(500);
+        EXPECT_LE(f.periodsUntil(40, f.seesAllAlive()), 40U);
+        EXPECT_LE(f.periodsUntil(20, f.hasConfiguration(v)), 20U);
+        const auto next = f.storeConfiguration(501);
+        EXPECT_LE(f.periodsUntil(4, f.hasConfiguration(next)), 4U);
+    }
+}
+
+// Guards against versions that stay with the members informed first, when a data centre is too
+// large to push to all and the document is too large to go along with a push.
+TEST(controlPlane, largeDocumentsReachAllOfALargeDataCentre)
+{
+    fleet f(60, 7, 20);
+    f.network.loss = 0.05;
+    f.run(10);
+    shard_map map;
+    map.version = index_version(3);
+    for (unsigned s = 0; s < 2000; ++s)
+        map.shards.push_back({shard_id(s), service_name("cards"), {server_id("cards-1")}});
+    f.platform.store("snapshots", "3", toJson(map));
+    f.platform.store("snapshots", "current", R"({"version":3})");
+    const auto holds = [](const fleet_instance &i) {
+        const auto &current = i.board.snapshots.value().current;
+        return current && current->version == index_version(3);
+    };
+    EXPECT_LE(f.periodsUntil(6, holds), 6U);
+    EXPECT_LE(f.total("platform.reads.snapshots"), 60U * 5);
+}
--- a/unittests/platform/http_platform_client_test.cpp
+++ b/unittests/platform/http_platform_client_test.cpp
@@ -26,7 +26,7 @@
     http_outcome next;
 };
 
-struct platformClient : testing::Test
+struct platform_client_fixture : testing::Test
 {
     scripted_http http;
     http_platform_client client{http, {{"127.0.1.9", 80}, data_centre_id("dc1")}};
@@ -48,7 +48,7 @@
 
 } // namespace
 
-TEST_F(platformClient, writesTheConditionAndEncodesNames)
+TEST_F(platform_client_fixture, writesTheConditionAndEncodesNames)
 {
     http.answer(200, R"({"version":8})");
     object_version written;
@@ -63,7 +63,7 @@
     EXPECT_EQ(*http.last.header("If-None-Match"), "*");
 }
 
-TEST_F(platformClient, readsObjectsWatchesAndTheInstanceList)
+TEST_F(platform_client_fixture, readsObjectsWatchesAndTheInstanceList)
 {
     http.answer(200, R"({"next":9,"changed":[{"name":"n","version":8,"value":{"a":[1]}}],
                          "removed":["gone"]})");
@@ -88,7 +88,7 @@
 }
 
 // Guards against a write that is taken for "without effect" although it may have taken effect.
-TEST_F(platformClient, aWriteIsWithoutEffectOnlyIfThatIsCertain)
+TEST_F(platform_client_fixture, aWriteIsWithoutEffectOnlyIfThatIsCertain)
 {
     http.next = {transport_failure::NotSent, {}};
     EXPECT_EQ(putError(), error_kind::Unavailable);
@@ -106,7 +106,7 @@
 }
 
 // Guards against crashes on deep nesting, where serialising would exhaust the stack.
-TEST_F(platformClient, refusesDeepNesting)
+TEST_F(platform_client_fixture, refusesDeepNesting)
 {
     http.answer(200, R"({"version":1,"value":)" + std::string(1000000, '['));
     client.get({"claims", "a"}, [](const auto &r) { EXPECT_FALSE(r.has_value()); });
@@ -116,7 +116,8 @@
 }
 
 // Guards against crashes on malformed replies: each is an error or a value.
-RC_GTEST_FIXTURE_PROP(platformClient, survivesDamagedReplies, (std::size_t at, char replacement))
+RC_GTEST_FIXTURE_PROP(platform_client_fixture, survivesDamagedReplies,
+                      (std::size_t at, char replacement))
 {
     std::string text = instanceListText;
     text[at % text.size()] = replacement;
--- a/unittests/routing/snapshot_controller_test.cpp
+++ b/unittests/routing/snapshot_controller_test.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-struct snapshotController : testing::Test
+struct snapshot_controller_fixture : testing::Test
 {
     manual_loop loop;
     fake_platform platform{loop, 5};
@@ -47,7 +47,7 @@
 } // namespace
 
 // Guards against a map in force before the platform names it, and against going back.
-TEST_F(snapshotController, followsThePointerUpwardsOnly)
+TEST_F(snapshot_controller_fixture, followsThePointerUpwardsOnly)
 {
     publish(1);
     publish(2);
@@ -64,7 +64,7 @@
 }
 
 // Guards against a pointer that is seen before its map and then forgotten.
-TEST_F(snapshotController, fetchesAMapThatIsPublishedAfterThePointer)
+TEST_F(snapshot_controller_fixture, fetchesAMapThatIsPublishedAfterThePointer)
 {
     point(3);
     loop.advance(seconds(5));
@@ -73,7 +73,7 @@
     EXPECT_EQ(seen, (std::vector<std::uint64_t>{3}));
 }
 
-TEST_F(snapshotController, keepsTheLatestMaps)
+TEST_F(snapshot_controller_fixture, keepsTheLatestMaps)
 {
     for (std::uint64_t v = 1; v <= 9; ++v) {
         publish(v);
@@ -87,7 +87,7 @@
 }
 
 // Guards against a peer's damaged or mislabelled map.
-TEST_F(snapshotController, refusesMapsOfPeersThatDoNotMatch)
+TEST_F(snapshot_controller_fixture, refusesMapsOfPeersThatDoNotMatch)
 {
     EXPECT_FALSE(controller->offer("{}", index_version(5), version_source::SameDataCentre));
     EXPECT_FALSE(controller->offer(map(4), index_version(5), version_source::SameDataCentre));
