--- a/include/peridotwheel/claims/claim_protocol.h
+++ b/include/peridotwheel/claims/claim_protocol.h
@@ -91,7 +91,7 @@
     claim_settler &m_settler;
     const claim_options &m_options;
     parameters m_p;
-    time_point m_claimWritten;
+    time_point m_firstClaim;
     wall_time m_claimedAt{};
     timer m_deadline;
     timer m_delay;
--- a/lib/claims/claim_protocol.cpp
+++ b/lib/claims/claim_protocol.cpp
@@ -40,7 +40,7 @@
     , m_settler(settler)
     , m_options(options)
     , m_p(std::move(p))
-    , m_claimWritten(loop.now())
+    , m_firstClaim(loop.now())
 {
 }
 
@@ -65,7 +65,6 @@
 void claim_protocol::claim(write_condition condition)
 {
     m_claimMayExist = true;
-    m_claimWritten = m_loop.now();
     m_claimedAt = m_loop.wallNow();
     claim_record record;
     record.nonce = m_p.nonce;
@@ -241,8 +240,9 @@
     if (m_knowledge == knowledge::OtherHolder || m_p.mayHaveRunHere())
         return ran_state::Unknown;
     if (m_knowledge == knowledge::OwnClaim) {
-        // After this time another instance may have taken over the claim and run the request.
-        const bool held = m_loop.now() - m_claimWritten < m_options.patience / 2;
+        // Later, another instance may have taken over the claim and run the request. A retry of the
+        // claim does not count: the record may come from the first write, delayed on its way.
+        const bool held = m_loop.now() - m_firstClaim < m_options.patience / 2;
         return held ? ran_state::No : ran_state::Unknown;
     }
     return ageOf(m_p.issuedAt) > m_options.resendAge ? ran_state::Unknown : ran_state::No;
