--- a/lib/bench/experiment_runner.cpp
+++ b/lib/bench/experiment_runner.cpp
@@ -135,13 +135,14 @@
     return run;
 }
 
-experiment_report experiment_runner::report(const measured_run &run) const
+experiment_report reportOf(const std::string &name, std::uint64_t seed, double capacityQps,
+                           const measured_run &run)
 {
     experiment_report out;
-    out.experiment = m_name;
-    out.seed = m_seed;
+    out.experiment = name;
+    out.seed = seed;
     out.seconds = toMilliseconds(run.length) / 1000.0;
-    out.capacityQps = m_capacity;
+    out.capacityQps = capacityQps;
     out.machineIdle = run.idle;
     out.classes = run.load.classes;
     out.extraLoad = run.extraLoad;
--- a/lib/bench/experiment_runner.h
+++ b/lib/bench/experiment_runner.h
@@ -27,6 +27,10 @@
     double extraLoad = 0.0;
 };
 
+/// A report with everything but the bounds.
+experiment_report reportOf(const std::string &name, std::uint64_t seed, double capacityQps,
+                           const measured_run &run);
+
 /// A cluster and the steps that experiments share.
 class experiment_runner
 {
@@ -41,8 +45,10 @@
     /// Runs \p streams, whose latest end is \p length, and measures.
     measured_run measure(const std::vector<load_stream> &streams, duration length,
                          const std::function<void()> &during = nullptr);
-    /// A report with everything but the bounds.
-    experiment_report report(const measured_run &run) const;
+    experiment_report report(const measured_run &run) const
+    {
+        return reportOf(m_name, m_seed, m_capacity, run);
+    }
 
 private:
     std::uint64_t extraAttempts();
--- a/tools/peridot-bench/main.cpp
+++ b/tools/peridot-bench/main.cpp
@@ -1,9 +1,11 @@
 #include "peridotwheel/bench/experiment.h"
+#include "peridotwheel/bench/fleet_load.h"
 #include "peridotwheel/support/log.h"
 
 #include <cstdlib>
 #include <docopt.h>
 #include <iostream>
+#include <sstream>
 
 using namespace peridotwheel;
 
@@ -14,11 +16,17 @@
 Usage:
   peridot-bench --list
   peridot-bench --experiment=NAME [--seed=N] [--json] [--log-level=LEVEL]
+  peridot-bench --load --callers=LIST --platform=ADDRESS [--rate=N] [--seconds=N] [--seed=N] [--json]
   peridot-bench (-h | --help)
 
 Options:
   --list             Print the names of the experiments.
   --experiment=NAME  Run one experiment: stand-ins, instances and load in this process.
+  --load             Send a mixed load to instances that run already.
+  --callers=LIST     Their callers' addresses, as 127.0.1.1:8001,127.0.2.1:8001.
+  --platform=ADDRESS Address of the platform, to find the instances' counters.
+  --rate=N           Queries per second [default: 300].
+  --seconds=N        Length of the load [default: 5].
   --seed=N           Seed of all random numbers [default: 1].
   --json             Print one JSON object in place of a table.
   --log-level=LEVEL  debug, info, warning or error [default: error].
@@ -42,6 +50,51 @@
     return report.value().allMet() ? EXIT_SUCCESS : exitMissed;
 }
 
+int runLoad(const fleet_load_options &options, bool json)
+{
+    const auto report = runFleetLoad(options);
+    if (!report) {
+        std::cerr << "the load could not run: " << report.error().message << "\n";
+        return exitBadUse;
+    }
+    std::cout << (json ? toJson(report.value()) + "\n" : toText(report.value()));
+    return report.value().violations.empty() ? EXIT_SUCCESS : exitMissed;
+}
+
+/// Throws std::invalid_argument with the remedy.
+endpoint parseAddress(const std::string &text)
+{
+    const auto colon = text.rfind(':');
+    constexpr int maxPort = 65535;
+    const int port = colon == std::string::npos ? 0 : std::atoi(text.c_str() + colon + 1);
+    if (port < 1 || port > maxPort)
+        throw std::invalid_argument("found '" + text +
+                                    "'; give an address and a port, as 127.0.1.1:8001");
+    return {text.substr(0, colon), static_cast<std::uint16_t>(port)};
+}
+
+std::vector<endpoint> parseAddresses(const std::string &list)
+{
+    std::vector<endpoint> out;
+    std::stringstream in(list);
+    for (std::string one; std::getline(in, one, ',');)
+        out.push_back(parseAddress(one));
+    if (out.empty())
+        throw std::invalid_argument("--callers is empty; give at least one address");
+    return out;
+}
+
+fleet_load_options loadOptions(const std::map<std::string, docopt::value> &args, std::uint64_t seed)
+{
+    fleet_load_options options;
+    options.callers = parseAddresses(args.at("--callers").asString());
+    options.platform = parseAddress(args.at("--platform").asString());
+    options.ratePerSecond = std::stod(args.at("--rate").asString());
+    options.length = fromMilliseconds(1000.0 * std::stod(args.at("--seconds").asString()));
+    options.seed = seed;
+    return options;
+}
+
 int listExperiments()
 {
     for (const auto &e : experiments())
@@ -71,6 +124,14 @@
         std::cerr << configured.error().message << "\n";
         return exitBadUse;
     }
+    if (args["--load"].asBool()) {
+        try {
+            return runLoad(loadOptions(args, seed), args["--json"].asBool());
+        } catch (const std::exception &e) {
+            std::cerr << "peridot-bench: " << e.what() << "\n";
+            return exitBadUse;
+        }
+    }
     const std::string name = args["--experiment"].asString();
     const experiment *e = findExperiment(name);
     if (e == nullptr) {
