--- a/unittests/standin/platform_standin_test.cpp
+++ b/unittests/standin/platform_standin_test.cpp
@@ -138,7 +138,7 @@
         faults.outage = outage_mode::Dropped;
         m_platform->setFaults(faults);
     });
-    EXPECT_FALSE(get("/watch/snapshots?since=0&timeoutMs=20000").ok());
+    EXPECT_FALSE(get("/watch/snapshots?since=0&timeoutMs=1000").ok());
 }
 
 class fleet_fixture : public standin_fixture
