Count stopped instances and let last answers leave before exit

Cause: the drain experiment computed extra load from counters that vanish with a stopped instance, and a shutdown ended when the last answer was handed to the socket buffer, before its bytes had left. A replacement now also takes over the addresses of the instance it replaces, as on the platform.

--- a/include/peridotwheel/bench/local_cluster.h
+++ b/include/peridotwheel/bench/local_cluster.h
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -65,7 +66,7 @@
     /// Stops the instance's thread for \p length, like a stopped process, without waiting.
     void pauseInstance(std::size_t index, duration length);
 
-    /// Sum of one counter over all instances.
+    /// Sum of one counter over all instances, stopped ones included.
     std::uint64_t counterSum(const std::string &name);
     /// The balancer's rotation: instances whose check last succeeded.
     std::vector<bool> rotation() const;
@@ -82,15 +83,21 @@
         std::atomic<bool> inRotation{false};
         endpoint callers; ///< Written before `inRotation` becomes true.
         std::uint64_t starts = 0;
+        /// Addresses of the first start; a replacement takes them over, as on the platform.
+        endpoint peers;
+        endpoint operators;
     };
 
     settings settingsOf(std::size_t index) const;
+    void retireCounters(const counter_set &counters);
     void checkReadiness(node &n);
     endpoint balance(random_source &random) const;
 
     cluster_options m_options;
     standin_fleet m_fleet;
     std::atomic<int> m_cut{0};
+    /// Counters of instances that have been stopped.
+    std::map<std::string, std::uint64_t> m_retired;
     std::vector<std::unique_ptr<node>> m_nodes;
 };
 
--- a/include/peridotwheel/drain/drain_controller.h
+++ b/include/peridotwheel/drain/drain_controller.h
@@ -43,6 +43,7 @@
 private:
     void stopAccepting();
     void waitForRequests();
+    void finish(const char *text);
     void setPhase(lifecycle_phase phase, const char *text);
 
     event_loop &m_loop;
--- a/lib/drain/drain_controller.cpp
+++ b/lib/drain/drain_controller.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr duration pollInterval = milliseconds(20);
+/// An answer counts as given once it is handed to the socket's buffer; its last bytes leave later.
+constexpr duration flushTime = milliseconds(200);
 
 } // namespace
 
@@ -45,14 +47,20 @@
 
 void drain_controller::waitForRequests()
 {
-    const std::size_t open = m_hooks.inProgress();
-    const bool late = m_loop.now() >= m_latest;
-    if (open != 0 && !late) {
+    if (m_loop.now() >= m_latest) {
+        finish("stopped at the bound, requests cut off");
+        return;
+    }
+    if (m_hooks.inProgress() != 0) {
         m_step = m_loop.schedule(pollInterval, [this] { waitForRequests(); });
         return;
     }
-    setPhase(lifecycle_phase::Stopped,
-             open == 0 ? "stopped, all requests ended" : "stopped at the bound, requests cut off");
+    m_step = m_loop.schedule(flushTime, [this] { finish("stopped, all requests ended"); });
+}
+
+void drain_controller::finish(const char *text)
+{
+    setPhase(lifecycle_phase::Stopped, text);
     m_done();
 }
 
