--- a/lib/limits/server_pool.cpp
+++ b/lib/limits/server_pool.cpp
@@ -231,9 +231,10 @@
     s.lastUsed = m_loop.now();
     if (!outcome.ok())
         remove(s);
-    // The next attempt goes out before the reply is looked at, so that the connection is used well.
-    dispatch();
+    // The reply may be the first sign that the server is leaving, so it is looked at before the
+    // next attempt goes out.
     attempt->onOutcome(std::move(outcome));
+    dispatch();
     trim();
 }
 
@@ -280,7 +281,7 @@
 
 bool server_pool::sendAside(const http_request &request, duration timeout)
 {
-    slot *s = idleSlot();
+    slot *s = m_closed ? nullptr : idleSlot();
     if (s == nullptr)
         return false;
     s->aside = true;
--- a/lib/query/running_query.cpp
+++ b/lib/query/running_query.cpp
@@ -237,7 +237,7 @@
         due.push_back(i);
     }
     for (const std::size_t i : due)
-        retry(i);
+        retry(i, failure_cause::NotRun);
     if (!m_over)
         checkEnd();
 }
--- a/lib/query/running_query.h
+++ b/lib/query/running_query.h
@@ -78,7 +78,7 @@
     void onFailure(const attempt &a, failure_cause cause);
     /// Decides what follows a failed attempt; false if the query was restarted.
     bool failGroup(std::size_t index, failure_cause cause);
-    void retry(std::size_t index);
+    void retry(std::size_t index, failure_cause cause);
     void park(group_state &g);
     void withdrawNeedless();
     bool newerVersionKnown() const;
--- a/lib/query/running_query_retry.cpp
+++ b/lib/query/running_query_retry.cpp
@@ -45,11 +45,11 @@
         return true;
     if (!m_state.options.retries && g.sentBefore)
         return true;
-    retry(index);
+    retry(index, cause);
     return true;
 }
 
-void running_query::retry(std::size_t index)
+void running_query::retry(std::size_t index, failure_cause cause)
 {
     group_state &g = m_groups[index];
     if (g.tries >= maxTries || m_state.loop.now() >= m_finishAt)
@@ -63,7 +63,9 @@
         park(g);
         return;
     }
-    if (g.sentBefore && !m_state.retries.take(m_state.loop.now())) {
+    // Asking all replicas once for a version costs them nothing but the request.
+    const bool isFree = !g.sentBefore || (cause == failure_cause::VersionLost && g.parked == 0);
+    if (!isFree && !m_state.retries.take(m_state.loop.now())) {
         m_state.count.denied.add();
         park(g);
         return;
--- a/unittests/limits/limits_test.cpp
+++ b/unittests/limits/limits_test.cpp
@@ -179,8 +179,8 @@
         loop.advance(milliseconds(20));
         connector.held[i]({transport_failure::None, {200, {}, ""}});
     }
-    const std::vector<std::string> expected{"sent first", "sent early",   "done first", "sent late",
-                                            "done early", "returned low", "done late"};
+    const std::vector<std::string> expected{"sent first", "done first", "sent early",  "done early",
+                                            "sent late",  "done late",  "returned low"};
     EXPECT_EQ(log, expected);
 }
 
--- a/unittests/query/merge_test.cpp
+++ b/unittests/query/merge_test.cpp
@@ -12,6 +12,7 @@
 std::vector<shard_id> ids(const std::set<std::uint32_t> &values)
 {
     std::vector<shard_id> out;
+    out.reserve(values.size());
     for (const auto v : values)
         out.emplace_back(v);
     return out;
--- a/unittests/query/query_engine_test.cpp
+++ b/unittests/query/query_engine_test.cpp
@@ -246,6 +246,23 @@
     EXPECT_EQ(m_connector.at(500).requests[0].header("X-Index-Version"), nullptr);
 }
 
+// Attempts that wait for a connection when the sign arrives must not follow it.
+TEST_F(engine_fixture, waitingAttemptsLeaveADrainingServer)
+{
+    build(1);
+    m_connector.at(1).latency = m_connector.at(2).latency = milliseconds(30);
+    warmUp();
+    m_connector.at(0).draining = true;
+    const std::size_t before = requestsTo(0);
+    const auto answers = load(12, duration::zero());
+    EXPECT_GT(requestsTo(0), before);
+    const std::size_t sent = requestsTo(0);
+    m_loop.advance(milliseconds(140));
+    EXPECT_EQ(requestsTo(0), sent);
+    for (const auto &answer : answers)
+        EXPECT_EQ((*answer)->kind, answer_kind::Complete);
+}
+
 // Replies that come after the engine is gone must not reach it.
 TEST_F(engine_fixture, canBeDestroyedWithAttemptsInFlight)
 {
