--- a/include/peridotwheel/routing/server_stats.h
+++ b/include/peridotwheel/routing/server_stats.h
@@ -18,8 +18,11 @@
     void onReply(duration latency, time_point now);
     /// An error reply or a broken connection.
     void onFailure(time_point now);
-    /// A shed reply: the server is alive but full.
+    /// A reply that did no work, because the server is full or lacks the index version: it is alive,
+    /// but work is better sent elsewhere for a while.
     void onShed(time_point now);
+    /// A good reply whose latency is not known.
+    void onUntimedReply(time_point now);
     /// The attempt was given up without an answer; says nothing by itself.
     void onAbandoned(time_point now);
     /// This process was stopped for a while: the silence of the server is not its own.
@@ -44,12 +47,13 @@
     duration expectedLatency(time_point now) const;
     /// Average latency in good times.
     duration floor() const { return duration(static_cast<duration::rep>(m_floor)); }
-    /// Share of failures among recent answers, fading with time.
+    /// Share of failures and shed replies among recent answers, fading with time.
     double errorRate(time_point now) const;
     /// Time since the last sign of life while attempts are outstanding.
     duration quietFor(time_point now) const;
 
 private:
+    void addError(time_point now);
     void becomeSuspect(time_point now);
     void settle(time_point now);
 
--- a/lib/query/attempt.cpp
+++ b/lib/query/attempt.cpp
@@ -205,7 +205,7 @@
     const duration latency = now - m_sentAt;
     // Time during which this process did not run is no latency of the server.
     if (m_sentAt < m_state.stalledUntil) {
-        server->stats.onShed(now);
+        server->stats.onUntimedReply(now);
         return;
     }
     server->stats.onReply(latency, now);
--- a/lib/query/engine_state.cpp
+++ b/lib/query/engine_state.cpp
@@ -269,6 +269,9 @@
         return;
     for (const auto &waiting : server.pool.inFlightAttempts()) {
         auto &stuck = static_cast<attempt &>(*waiting);
+        // Probes, and attempts sent for want of a better server, get the usual patience.
+        if (now - stuck.sentAt() < patience)
+            continue;
         if (stuck.query() != nullptr) {
             stuck.query()->onStuck(stuck);
         } else if (server.stats.suspectFor(now) >= hopelessAfter) {
--- a/lib/query/running_query_scatter.cpp
+++ b/lib/query/running_query_scatter.cpp
@@ -212,7 +212,8 @@
 
 void running_query::onStuck(const attempt &a)
 {
-    if (m_over || !m_request.repeatable || !m_state.options.retries)
+    const bool isProbe = a.kind == attempt_kind::Probe;
+    if (m_over || isProbe || !m_request.repeatable || !m_state.options.retries)
         return;
     const auto self = shared_from_this();
     const time_point now = m_state.loop.now();
--- a/lib/routing/server_stats.cpp
+++ b/lib/routing/server_stats.cpp
@@ -82,13 +82,27 @@
 void server_stats::onFailure(time_point now)
 {
     settle(now);
-    m_errorRate = errorRate(now) + errorWeight * (1 - errorRate(now));
-    m_lastError = now;
+    addError(now);
     if (++m_failuresInRow >= failuresForSuspicion)
         becomeSuspect(now);
 }
 
+void server_stats::addError(time_point now)
+{
+    const double rate = errorRate(now);
+    m_errorRate = rate + errorWeight * (1 - rate);
+    m_lastError = now;
+}
+
 void server_stats::onShed(time_point now)
+{
+    settle(now);
+    addError(now);
+    m_suspect = false;
+    m_failuresInRow = 0;
+}
+
+void server_stats::onUntimedReply(time_point now)
 {
     settle(now);
     m_suspect = false;
--- a/unittests/query/query_engine_test.cpp
+++ b/unittests/query/query_engine_test.cpp
@@ -63,7 +63,9 @@
         EXPECT_EQ((*answer)->kind, answer_kind::Complete);
     }
     const std::size_t before = requestsTo(0);
+    const std::uint64_t retriesBefore = counted("query.attempts.retry");
     load(100, milliseconds(10));
+    EXPECT_EQ(counted("query.attempts.retry"), retriesBefore) << "probes are not retried";
     // Probes back off to one per 1.6 s.
     EXPECT_LE(requestsTo(0) - before, 2U);
     m_connector.at(0).silent = false;
