Give a single late attempt more patience before its server is suspected

With 1% stragglers a server with one attempt in flight was suspected for each straggler and its work went to another region.

--- a/include/peridotwheel/routing/server_stats.h
+++ b/include/peridotwheel/routing/server_stats.h
@@ -18,8 +18,8 @@
     void onReply(duration latency, time_point now);
     /// An error reply or a broken connection.
     void onFailure(time_point now);
-    /// A reply that did no work, because the server is full or lacks the index version: it is alive,
-    /// but work is better sent elsewhere for a while.
+    /// A reply that did no work, because the server is full or lacks the index version: it is
+    /// alive, but work is better sent elsewhere for a while.
     void onShed(time_point now);
     /// A good reply whose latency is not known.
     void onUntimedReply(time_point now);
--- a/lib/query/backend_server.cpp
+++ b/lib/query/backend_server.cpp
@@ -59,7 +59,10 @@
 duration backend_server::patience(time_point now) const
 {
     const double expected = toMilliseconds(stats.expectedLatency(now));
-    return std::max(leastPatience, fromMilliseconds(expected * patienceFactor) + patienceMargin);
+    const duration usual =
+            std::max(leastPatience, fromMilliseconds(expected * patienceFactor) + patienceMargin);
+    // A single late attempt is more likely a straggler; a second one soon shows which it is.
+    return stats.inFlight() > 1 ? usual : 2 * usual;
 }
 
 void backend_server::applyShare(std::uint32_t share)
--- a/unittests/query/query_engine_test.cpp
+++ b/unittests/query/query_engine_test.cpp
@@ -87,6 +87,34 @@
     EXPECT_LE(requestsTo(0) - before, 10U);
 }
 
+// Shed replies come fast, so that a server that sheds everything would look like the best one.
+TEST_F(engine_fixture, sheddingServerIsNotPreferred)
+{
+    build(1);
+    warmUp();
+    m_connector.at(0).latency = milliseconds(1);
+    m_connector.at(0).status = 503;
+    m_connector.at(0).notRun = true;
+    const std::size_t before = requestsTo(0);
+    const auto answers = load(100, milliseconds(10));
+    m_loop.advance(milliseconds(200));
+    for (const auto &answer : answers)
+        EXPECT_EQ((*answer)->kind, answer_kind::Complete);
+    EXPECT_LE(requestsTo(0) - before, 10U);
+}
+
+// Servers load a new version one after the other; the query must find the first that holds it.
+TEST_F(engine_fixture, serversWithoutTheVersionArePassedOver)
+{
+    build(2);
+    m_connector.at(0).versions = m_connector.at(1).versions = {7};
+    const auto got = run(request());
+    m_loop.advance(milliseconds(140));
+    ASSERT_TRUE(got->has_value());
+    EXPECT_EQ((*got)->kind, answer_kind::Complete);
+    EXPECT_EQ(counted("query.restarts"), 0U);
+}
+
 TEST_F(engine_fixture, partialAnswerAtTheDeadlineNamesTheMissingShard)
 {
     build(3);
