--- a/lib/limits/admission_queue.cpp
+++ b/lib/limits/admission_queue.cpp
@@ -180,8 +180,9 @@
         return result;
     }
     result.id = k.id;
-    r.refusingSince.reset();
     insert(k, now);
+    // Making room may have removed and renewed the state of a rank without classes.
+    stateOf(k.rank).refusingSince.reset();
     return result;
 }
 
