--- a/include/peridotwheel/entry/caller_service.h
+++ b/include/peridotwheel/entry/caller_service.h
@@ -61,7 +61,7 @@
     caller_service &operator=(const caller_service &) = delete;
     ~caller_service();
 
-    void handle(const http_request &request, std::shared_ptr<http_responder> out);
+    void handle(const http_request &request, const std::shared_ptr<http_responder> &out);
 
     /// True if this instance has all it needs to serve and is not about to stop.
     bool ready() const;
--- a/lib/entry/caller_service.cpp
+++ b/lib/entry/caller_service.cpp
@@ -73,7 +73,7 @@
 
 caller_service::~caller_service() = default;
 
-void caller_service::handle(const http_request &request, std::shared_ptr<http_responder> out)
+void caller_service::handle(const http_request &request, const responder_ptr &out)
 {
     const std::string path = request.path.substr(0, request.path.find('?'));
     const bool get = request.method == http_method::Get;
--- a/unittests/http/http_server_limits_test.cpp
+++ b/unittests/http/http_server_limits_test.cpp
@@ -108,6 +108,7 @@
     limits.maxConnections = 4;
     serve(limits);
     std::vector<std::unique_ptr<raw_client>> silent;
+    silent.reserve(20);
     for (int i = 0; i < 20; ++i)
         silent.push_back(std::make_unique<raw_client>(port()));
     raw_client client(port());
--- a/unittests/limits/admission_controller_test.cpp
+++ b/unittests/limits/admission_controller_test.cpp
@@ -122,10 +122,8 @@
     {
         const double gap = -std::log(1 - m_random.fraction()) / rate;
         m_arrivals[spec.name] = m_loop.schedule(fromMilliseconds(gap * 1000), [this, spec, rate] {
-            const class_spec copy = spec;
-            const double again = rate;
-            offer(copy);
-            arrive(copy, again);
+            offer(spec);
+            arrive(spec, rate);
         });
     }
 
@@ -313,6 +311,7 @@
     make(4);
     offer(low);
     std::vector<std::shared_ptr<std::optional<query_answer>>> waiting;
+    waiting.reserve(4);
     for (int i = 0; i < 4; ++i)
         waiting.push_back(offer(low));
     expectNotRun(offer(low));
@@ -335,6 +334,7 @@
     make(2);
     service = milliseconds(150);
     std::vector<duration> delays;
+    delays.reserve(20);
     for (int i = 0; i < 20; ++i)
         delays.push_back(*offer(urgent)->value().retryAfter);
     EXPECT_GT(delays.back(), delays.front() * 5);
