Answer unknown classes on status pages with a JSON error

Split the status pages and the rank floors into files of their own. The reply to a dropped request no longer advises to send it again, since it may have run.

--- a/include/peridotwheel/limits/admission_queue.h
+++ b/include/peridotwheel/limits/admission_queue.h
@@ -3,6 +3,7 @@
 
 #include "peridotwheel/configuration/class_spec.h"
 #include "peridotwheel/limits/decaying_count.h"
+#include "peridotwheel/limits/rank_floors.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -15,14 +16,6 @@
 
 namespace peridotwheel {
 
-/// Share of the capacity that is divided among the ranks as their floors; the rest is given in
-/// strict rank order.
-constexpr double flooredShare = 0.5;
-
-/// The floor of each rank as a share of the capacity: half of the normalised weights of its
-/// classes, where the weight of a class is 1/sqrt(latency target).
-std::map<class_rank, double> rankFloors(const std::map<class_name, class_spec> &classes);
-
 /// What the queue is told about the slots behind it.
 struct slot_state
 {
--- /dev/null
+++ b/include/peridotwheel/limits/rank_floors.h
@@ -0,0 +1,20 @@
+#ifndef PERIDOTWHEEL_LIMITS_RANK_FLOORS_H
+#define PERIDOTWHEEL_LIMITS_RANK_FLOORS_H
+
+#include "peridotwheel/configuration/class_spec.h"
+
+#include <map>
+
+namespace peridotwheel {
+
+/// Share of the capacity that is divided among the ranks as their floors; the rest is given in
+/// strict rank order.
+constexpr double flooredShare = 0.5;
+
+/// The floor of each rank as a share of the capacity: half of the normalised weights of its
+/// classes, where the weight of a class is 1/sqrt(latency target).
+std::map<class_rank, double> rankFloors(const std::map<class_name, class_spec> &classes);
+
+} // namespace peridotwheel
+
+#endif
--- /dev/null
+++ b/lib/entry/caller_lookup.h
@@ -0,0 +1,23 @@
+#ifndef PERIDOTWHEEL_ENTRY_CALLER_LOOKUP_H
+#define PERIDOTWHEEL_ENTRY_CALLER_LOOKUP_H
+
+#include "peridotwheel/entry/caller_service.h"
+
+namespace peridotwheel {
+
+/// One status request that waits for the claim store.
+struct caller_service::lookup
+{
+    request_id id;
+    responder_ptr out;
+    timer timeout;
+};
+
+inline request_status statusOf(const request_entry &entry)
+{
+    return {entry.id, entry.spec.name, entry.repeatable, entry.spec.coverageTarget, entry.answer};
+}
+
+} // namespace peridotwheel
+
+#endif
--- a/lib/http/http_server.cpp
+++ b/lib/http/http_server.cpp
@@ -44,7 +44,9 @@
     {
         // Every request gets an answer, also when its handler forgot it.
         if (m_request != nullptr)
-            reply({500, {}, "internal error: the request was dropped; send it again\n"});
+            reply({500,
+                   {},
+                   "internal error: no reply; the request may have run, ask for its status\n"});
         m_state->pending.erase(this);
     }
 
--- a/lib/limits/admission_queue.cpp
+++ b/lib/limits/admission_queue.cpp
@@ -43,21 +43,6 @@
 
 } // namespace
 
-std::map<class_rank, double> rankFloors(const std::map<class_name, class_spec> &classes)
-{
-    std::map<class_rank, double> floors;
-    double total = 0;
-    for (const auto &[name, spec] : classes) {
-        const auto target = std::max<duration::rep>(spec.latencyTarget.count(), 1);
-        const double weight = 1.0 / std::sqrt(static_cast<double>(target));
-        floors[spec.rank] += weight;
-        total += weight;
-    }
-    for (auto &[rank, floor] : floors)
-        floor *= flooredShare / total;
-    return floors;
-}
-
 bool admission_queue::key::operator<(const key &other) const
 {
     return std::tie(rank, order, id) < std::tie(other.rank, other.order, other.id);
--- a/unittests/entry/caller_service_test.cpp
+++ b/unittests/entry/caller_service_test.cpp
@@ -219,6 +219,26 @@
     EXPECT_EQ(out->got->body.rfind("give up\n", 0), 0u);
 }
 
+TEST_F(caller_fixture, wrongPathsAndNamesGetAnErrorWithARemedy)
+{
+    const std::tuple<http_method, const char *, int, const char *> cases[] = {
+            {http_method::Get, "/status/class/none", 404, "unknown-class"},
+            {http_method::Get, "/status/a%2Fb", 400, "bad-id"},
+            {http_method::Get, "/status/", 400, "bad-id"},
+            {http_method::Get, "/query", 405, "wrong-method"},
+            {http_method::Put, "/status", 405, "wrong-method"},
+            {http_method::Get, "/peer/exchange", 404, "unknown-path"},
+            {http_method::Get, "/operator/where", 404, "unknown-path"},
+    };
+    for (const auto &[method, path, status, kind] : cases) {
+        const auto reply = replyTo(method, path);
+        EXPECT_EQ(reply.status, status) << path;
+        EXPECT_EQ(json::parse(reply.body)["error"], kind) << path;
+    }
+    EXPECT_EQ(firstLine("/status"), "done");
+    EXPECT_EQ(firstLine("/status/class/safety-cards?x=1"), "done");
+}
+
 TEST_F(caller_fixture, drainFailsReadinessButAcceptsRequests)
 {
     EXPECT_EQ(replyTo(http_method::Get, "/ready").status, 200);
