Tighten the control plane's tests by trial mutations

Instances that do not watch back off up to the idle interval, so that an outage does not make the whole fleet retry every 5 s.

--- a/include/peridotwheel/platform/object_watcher.h
+++ b/include/peridotwheel/platform/object_watcher.h
@@ -15,8 +15,9 @@
 {
     /// How long one watch waits at the platform.
     duration watchWait = seconds(20);
-    /// Delay before a failed read is repeated; doubles up to the second value. Each delay is
-    /// randomised by half, so that instances do not return in step after an outage.
+    /// Delay before a failed read is repeated; doubles up to the second value, or up to `idleRead`
+    /// on an instance that does not watch. Each delay is randomised by half, so that instances do
+    /// not return in step after an outage.
     duration retryFirst = milliseconds(200);
     duration retryMax = seconds(5);
     /// How often an instance that does not watch reads the kind nevertheless, in case every watcher
--- a/lib/platform/object_watcher.cpp
+++ b/lib/platform/object_watcher.cpp
@@ -76,7 +76,7 @@
     if (!read) {
         m_failures.add();
         const duration delay = m_backoff;
-        m_backoff = std::min(m_backoff * 2, m_options.retryMax);
+        m_backoff = std::min(m_backoff * 2, m_active ? m_options.retryMax : m_options.idleRead);
         return again(jittered(delay));
     }
     m_backoff = m_options.retryFirst;
--- a/unittests/routing/snapshot_controller_test.cpp
+++ b/unittests/routing/snapshot_controller_test.cpp
@@ -73,6 +73,19 @@
     EXPECT_EQ(seen, (std::vector<std::uint64_t>{3}));
 }
 
+// Guards against a map that is never read again after one failed read: more maps are published than
+// the controller keeps, so that the one that becomes current has to be fetched.
+TEST_F(snapshot_controller_fixture, repeatsAFailedFetch)
+{
+    for (std::uint64_t v = 1; v <= 10; ++v)
+        publish(v);
+    loop.advance(seconds(5));
+    client.failingGets = 2;
+    point(10);
+    loop.advance(seconds(5));
+    EXPECT_EQ(seen, (std::vector<std::uint64_t>{10}));
+}
+
 TEST_F(snapshot_controller_fixture, keepsTheLatestMaps)
 {
     for (std::uint64_t v = 1; v <= 9; ++v) {
