--- a/include/peridotwheel/claims/claiming_executor.h
+++ b/include/peridotwheel/claims/claiming_executor.h
@@ -45,7 +45,7 @@
     };
     using serial = std::uint64_t;
 
-    void runClaimed(query_request request, answer_hook done);
+    void runClaimed(const query_request &request, answer_hook done);
     void refuse(answer_hook done, std::string detail);
     /// Answers a request that is too old to run with what the store says about earlier tries.
     void refuseOld(const request_id &id, duration age, answer_hook done);
--- a/lib/claims/claim_protocol.cpp
+++ b/lib/claims/claim_protocol.cpp
@@ -81,7 +81,7 @@
     const std::string value = toJson(record);
     std::weak_ptr<bool> alive = m_alive;
     m_platform.put(claimKey(m_p.id), value, condition,
-                   [this, alive, record = std::move(record)](result<object_version> r) {
+                   [this, alive, record = std::move(record)](const result<object_version> &r) {
                        if (!alive.expired() && !m_finished)
                            onWritten(record, r);
                    });
@@ -107,7 +107,7 @@
     if (!spendCall())
         return;
     std::weak_ptr<bool> alive = m_alive;
-    m_platform.get(claimKey(m_p.id), [this, alive](result<platform_object> r) {
+    m_platform.get(claimKey(m_p.id), [this, alive](const result<platform_object> &r) {
         if (!alive.expired() && !m_finished)
             onRead(r);
     });
--- a/lib/claims/claim_settler.cpp
+++ b/lib/claims/claim_settler.cpp
@@ -40,7 +40,7 @@
 void claim_settler::read(serial s)
 {
     std::weak_ptr<bool> alive = m_alive;
-    m_platform.get(claimKey(m_entries[s].id), [this, alive, s](result<platform_object> r) {
+    m_platform.get(claimKey(m_entries[s].id), [this, alive, s](const result<platform_object> &r) {
         if (!alive.expired())
             onRead(s, r);
     });
@@ -52,7 +52,7 @@
     entry &e = m_entries[s];
     e.last.changedAt = m_loop.wallNow();
     m_platform.put(claimKey(e.id), toJson(e.last), write_condition::at(*e.version),
-                   [this, alive, s](result<object_version> r) {
+                   [this, alive, s](const result<object_version> &r) {
                        if (!alive.expired())
                            onWritten(s, r);
                    });
--- a/lib/claims/claim_sweeper.cpp
+++ b/lib/claims/claim_sweeper.cpp
@@ -30,7 +30,7 @@
         return;
     }
     std::weak_ptr<bool> alive = m_alive;
-    m_platform.list(claimKey(request_id()).kind, [this, alive](result<watch_result> r) {
+    m_platform.list(claimKey(request_id()).kind, [this, alive](const result<watch_result> &r) {
         if (!alive.expired())
             onList(r);
     });
--- a/lib/claims/claiming_executor.cpp
+++ b/lib/claims/claiming_executor.cpp
@@ -65,7 +65,7 @@
                "it again");
         return;
     }
-    runClaimed(std::move(request), std::move(done));
+    runClaimed(request, std::move(done));
 }
 
 void claiming_executor::refuse(answer_hook done, std::string detail)
@@ -94,7 +94,7 @@
     });
 }
 
-void claiming_executor::runClaimed(query_request request, answer_hook done)
+void claiming_executor::runClaimed(const query_request &request, answer_hook done)
 {
     const serial s = m_nextSerial++;
     ++m_triesOf[request.id];
--- a/unittests/claims/claim_interleaving_test.cpp
+++ b/unittests/claims/claim_interleaving_test.cpp
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 #include <optional>
-#include <variant>
+#include <utility>
 
 using namespace peridotwheel;
 using namespace peridotwheel::test;
@@ -55,7 +55,7 @@
 public:
     interleaving(chooser choose, budget left)
         : m_choose(std::move(choose))
-        , m_left(left)
+        , m_left(std::move(left))
     {
         for (int i = 0; i < 2; ++i) {
             m_instances.push_back(std::make_unique<fake_instance>(
