Notice drains by health, give plain results unwrapped, be ready only when connected

Every server is now asked every 2 s, busy or not. 2. The reply of a plain service is an array of one element by the design's table; it was passed on with its brackets. The test's fake replied without an array, against the table, and is corrected; the test now also compares the element. 3. Instances reported ready before a server was connected, so the first queries failed (246 of 870 in the first 3 s).

--- a/include/peridotwheel/entry/caller_service.h
+++ b/include/peridotwheel/entry/caller_service.h
@@ -28,6 +28,9 @@
     /// Reads what the claim store knows about a request that this instance has not seen. It answers
     /// with nothing if there is no record or the store could not be read.
     claim_lookup_hook lookupClaim;
+    /// Whether the backend servers can be asked. An instance becomes ready only then, and stays
+    /// ready when they fail later: other instances would fare no better.
+    std::function<bool()> connected;
     /// Present load of one class.
     std::function<class_load(const class_name &)> classLoad;
     /// Present load of the instance; its `retryAfter` is set while any class is refused.
@@ -64,7 +67,7 @@
     void handle(const http_request &request, const std::shared_ptr<http_responder> &out);
 
     /// True if this instance has all it needs to serve and is not about to stop.
-    bool ready() const;
+    bool ready();
     /// Queries that have been accepted and not answered; a drain waits for zero.
     std::size_t inProgress() const { return m_inProgress; }
 
@@ -103,6 +106,8 @@
     request_registry m_registry;
     random_source m_random;
     std::size_t m_inProgress = 0;
+    time_point m_started;
+    bool m_wasConnected = false;
     std::set<std::shared_ptr<lookup>> m_lookups;
     // Services named by the two sections below, rebuilt when either is replaced.
     std::set<service_name> m_services;
--- a/include/peridotwheel/limits/server_pool.h
+++ b/include/peridotwheel/limits/server_pool.h
@@ -51,6 +51,8 @@
 
     /// Called when an open connection did not answer a health check in time.
     std::function<void()> onUnresponsive;
+    /// Called with the headers of each health reply, which may say that the server is leaving.
+    std::function<void(const http_headers &)> onHealthReply;
 
     /// Connections allowed. Excess connections close once they are idle.
     void setShare(std::uint32_t share);
@@ -101,6 +103,7 @@
     void remove(const slot &s);
     void trim();
     void refreshIdle(time_point now);
+    bool healthDue(time_point now) const;
     void returnExpired();
 
     event_loop &m_loop;
@@ -117,6 +120,7 @@
     time_point m_openAfter{};
     duration m_openDelay{};
     time_point m_lastUsed{};
+    time_point m_lastHealth{};
     bool m_down = false;
     bool m_closed = false;
 };
--- a/include/peridotwheel/query/query_engine.h
+++ b/include/peridotwheel/query/query_engine.h
@@ -50,6 +50,8 @@
     /// Queries that may usefully run at once: the least over the services of the sum of the limits
     /// of their servers; at least 1.
     std::uint32_t concurrencyLimit() const;
+    /// Whether at least one server of every known service is connected.
+    bool connected() const;
     /// Recent p90 of the time from `run` to the answer.
     duration expectedServiceTime() const;
     /// No new work for this run of the server from now on.
--- a/lib/entry/caller_service.cpp
+++ b/lib/entry/caller_service.cpp
@@ -24,6 +24,10 @@
     return answer;
 }
 
+/// After this time a service without any reachable server no longer keeps the instance from serving
+/// the others.
+constexpr duration longestConnectWait = seconds(5);
+
 query_answer alreadyInProgress()
 {
     query_answer answer;
@@ -56,6 +60,7 @@
     , m_options(std::move(options))
     , m_registry(m_options.registry)
     , m_random(m_options.seed)
+    , m_started(loop.now())
 {
 }
 
@@ -97,8 +102,14 @@
            m_board.snapshots.value().current != nullptr;
 }
 
-bool caller_service::ready() const
+bool caller_service::ready()
 {
+    if (!m_wasConnected && m_hooks.connected) {
+        const bool waitedEnough = m_loop.now() - m_started >= longestConnectWait;
+        m_wasConnected = hasState() && (m_hooks.connected() || waitedEnough);
+        if (!m_wasConnected)
+            return false;
+    }
     return m_board.phase.value().phase == lifecycle_phase::Serving && hasState();
 }
 
--- a/lib/entry/entry_instance.cpp
+++ b/lib/entry/entry_instance.cpp
@@ -138,6 +138,7 @@
               {[this](const request_id &id, auto done) {
                    claimLookup.lookUp(id, [done](const claim_view &v) { done(answerFrom(v)); });
                },
+               [this] { return engine.connected(); },
                [this](const class_name &name) { return admission.loadOf(name); },
                [this] { return admission.totalLoad(); }},
               counters, events.sink(), {s.id, o.seed + IdSeed, {}})
--- a/lib/limits/server_pool.cpp
+++ b/lib/limits/server_pool.cpp
@@ -12,6 +12,10 @@
 /// A server without other traffic is asked for its health this often, so that its silence is known
 /// before a query depends on it. An answer proves nothing.
 constexpr duration checkUnusedAfter = seconds(1);
+/// A busy server is asked this often as well, since its health may be the only sign that it is
+/// leaving. The news spreads at once, so that the instances of a data centre find out within 3 s of
+/// the sign even if each asks only this often.
+constexpr duration checkBusyAfter = seconds(2);
 /// A refusal by the connection limit lowers the share for this long: views that differ have then
 /// mostly converged.
 constexpr duration refusedHold = seconds(2);
@@ -132,6 +136,7 @@
 {
     s.aside = true;
     const time_point started = m_loop.now();
+    m_lastHealth = started;
     s.connection->send({http_method::Get, "/health", {}, ""}, healthTimeout,
                        [this, &s, started](const http_outcome &o) { onHealth(s, started, o); });
 }
@@ -144,6 +149,9 @@
         s.ready = true;
         m_down = false;
         m_openDelay = duration::zero();
+        // The hook may close the pool, and this connection with it.
+        if (onHealthReply)
+            onHealthReply(outcome.reply.headers);
         trim();
         dispatch();
         return;
@@ -195,8 +203,17 @@
         openMissing();
 }
 
+bool server_pool::healthDue(time_point now) const
+{
+    return !m_closed && now - m_lastHealth >= checkBusyAfter;
+}
+
 void server_pool::dispatch()
 {
+    // The next free connection carries a check that is due, even if attempts wait for it.
+    slot *free = healthDue(m_loop.now()) ? idleSlot() : nullptr;
+    if (free != nullptr)
+        checkHealth(*free);
     while (!m_waiting.empty() && m_inFlight < m_limit) {
         slot *s = idleSlot();
         if (s == nullptr)
@@ -328,10 +345,10 @@
             checkHealth(*s);
     }
     slot *s = idleSlot();
-    if (s == nullptr || now - m_lastUsed < checkUnusedAfter)
-        return;
-    m_lastUsed = now;
-    checkHealth(*s);
+    const bool unused =
+            now - m_lastUsed >= checkUnusedAfter && now - m_lastHealth >= checkUnusedAfter;
+    if (s != nullptr && (unused || healthDue(now)))
+        checkHealth(*s);
 }
 
 } // namespace peridotwheel
--- a/lib/query/engine_state.cpp
+++ b/lib/query/engine_state.cpp
@@ -150,6 +150,9 @@
     const duration prior = record.dataCentre == dataCentre ? nearPrior : farPrior;
     auto server = std::make_shared<backend_server>(loop, connector, record, *service, prior);
     server->pool.onUnresponsive = [this, raw = server.get()] { onUnresponsive(*raw); };
+    server->pool.onHealthReply = [this, raw = server.get()](const http_headers &headers) {
+        noteHealthReply(*raw, headers);
+    };
     return server;
 }
 
@@ -162,6 +165,22 @@
         server.stats.distrust(now);
 }
 
+void engine_state::noteHealthReply(const backend_server &server, const http_headers &headers)
+{
+    const reply_headers parsed = parseHeaders(headers);
+    if (parsed.draining && !server.leaving)
+        noteLeaving(server.record.id, parsed.start.value_or(server.record.start), true);
+}
+
+bool engine_state::connected() const
+{
+    std::map<service_name, bool> reached;
+    for (const auto &[id, server] : servers)
+        reached[server->record.service] |= server->pool.established() > 0;
+    return !reached.empty() &&
+           std::all_of(reached.begin(), reached.end(), [](const auto &r) { return r.second; });
+}
+
 void engine_state::updateServers()
 {
     const server_map &known = board.servers.value();
--- a/lib/query/engine_state.h
+++ b/lib/query/engine_state.h
@@ -84,6 +84,9 @@
     std::uint64_t nextAttempt = 1;
     std::uint64_t nextScatter = 1;
     std::uint32_t concurrency = 1;
+
+    /// Whether a connection is open to at least one server of every service.
+    bool connected() const;
     /// End of the last time span in which this process did not run.
     time_point stalledUntil{};
 
@@ -93,6 +96,7 @@
 private:
     std::shared_ptr<backend_server> makeServer(const server_record &record);
     void onUnresponsive(backend_server &server);
+    void noteHealthReply(const backend_server &server, const http_headers &headers);
     void checkServer(backend_server &server, time_point now);
     void maintain(time_point now);
     void updateConcurrency();
--- a/lib/query/json_elements.cpp
+++ b/lib/query/json_elements.cpp
@@ -86,10 +86,4 @@
     return elements;
 }
 
-bool isJsonValue(std::string_view body)
-{
-    element_counter counter;
-    return json::sax_parse(body, &counter);
-}
-
 } // namespace peridotwheel
--- a/lib/query/json_elements.h
+++ b/lib/query/json_elements.h
@@ -12,9 +12,6 @@
 /// array or is nested too deeply. A single element is copied without building a document.
 std::optional<std::vector<std::string>> jsonElements(std::string_view body, std::size_t count);
 
-/// Whether \p body is one JSON value of bounded depth.
-bool isJsonValue(std::string_view body);
-
 } // namespace peridotwheel
 
 #endif
--- a/lib/query/merge.cpp
+++ b/lib/query/merge.cpp
@@ -127,9 +127,10 @@
 {
     if (has(element))
         return merge_verdict::Duplicate;
-    if (!isJsonValue(body))
+    auto elements = jsonElements(body, 1);
+    if (!elements)
         return merge_verdict::Malformed;
-    m_results[indexOf(element)] = std::string(body);
+    m_results[indexOf(element)] = std::move(elements->front());
     ++m_answered;
     return merge_verdict::Accepted;
 }
--- a/lib/query/query_engine.cpp
+++ b/lib/query/query_engine.cpp
@@ -36,6 +36,11 @@
     query->start();
 }
 
+bool query_engine::connected() const
+{
+    return m_state->connected();
+}
+
 std::uint32_t query_engine::concurrencyLimit() const
 {
     return m_state->concurrency;
--- a/unittests/query/fake_servers.cpp
+++ b/unittests/query/fake_servers.cpp
@@ -13,7 +13,7 @@
     reply.headers.emplace_back("X-Draining", server.draining ? "1" : "0");
     const std::string *version = request.header("X-Index-Version");
     if (version == nullptr) {
-        reply.body = R"({"plain":true})";
+        reply.body = R"([{"plain":true}])";
         return reply;
     }
     if (server.versions.count(std::stoull(*version)) == 0)
@@ -64,7 +64,9 @@
             return;
         }
         if (request.path == "/health" || request.path == "/cancel") {
-            finishAfter(milliseconds(1), {transport_failure::None, {200, {}, ""}});
+            const char *sign = m_server.drainingInHealth ? "1" : "0";
+            finishAfter(milliseconds(1),
+                        {transport_failure::None, {200, {{"X-Draining", sign}}, ""}});
             return;
         }
         m_server.requests.push_back(request);
--- a/unittests/query/fake_servers.h
+++ b/unittests/query/fake_servers.h
@@ -25,6 +25,7 @@
     int status = 200;
     bool notRun = false;
     bool draining = false;
+    bool drainingInHealth = false;
     /// Breaks the connection after the request was written.
     bool reset = false;
     std::set<std::uint64_t> versions{1, 2};
--- a/unittests/query/query_engine_test.cpp
+++ b/unittests/query/query_engine_test.cpp
@@ -272,10 +272,31 @@
     ASSERT_TRUE(got->has_value());
     EXPECT_EQ((*got)->kind, answer_kind::Complete);
     ASSERT_EQ(requestsTo(500), 1U);
+    ASSERT_EQ((*got)->results.size(), 1U);
+    EXPECT_EQ((*got)->results[0].json, "{\"plain\":true}");
     EXPECT_EQ(m_connector.at(500).requests[0].path, "/run");
     EXPECT_EQ(m_connector.at(500).requests[0].header("X-Index-Version"), nullptr);
 }
 
+// A busy server has no unused connection, so that its health was never asked for and a drain that
+// only the health endpoint shows was missed.
+TEST_F(engine_fixture, aBusyServerIsAskedForItsHealth)
+{
+    build(1);
+    warmUp();
+    m_connector.at(0).drainingInHealth = true;
+    for (int i = 0; i < 250; ++i) {
+        run(request());
+        m_loop.advance(milliseconds(10));
+    }
+    const std::size_t before = requestsTo(0);
+    for (int i = 0; i < 50; ++i) {
+        run(request());
+        m_loop.advance(milliseconds(10));
+    }
+    EXPECT_EQ(requestsTo(0), before);
+}
+
 // Attempts that wait for a connection when the sign arrives must not follow it.
 TEST_F(engine_fixture, waitingAttemptsLeaveADrainingServer)
 {
