Add the messages of relayed queries to the peers' protocol

An instance without connections to some servers of a query needs to ask the instances that hold them; the messages carry the pinned version, the shards, the class and the remaining time.

--- a/lib/peer/gen/peer_types.cpp
+++ b/lib/peer/gen/peer_types.cpp
@@ -882,4 +882,1096 @@
   out << ")";
 }
 
+
+RelayQuery::~RelayQuery() noexcept {
+}
+
+
+void RelayQuery::__set_origin(const std::string& val) {
+  this->origin = val;
+}
+
+void RelayQuery::__set_originStartId(const int64_t val) {
+  this->originStartId = val;
+}
+
+void RelayQuery::__set_relayId(const int64_t val) {
+  this->relayId = val;
+}
+
+void RelayQuery::__set_requestId(const std::string& val) {
+  this->requestId = val;
+}
+
+void RelayQuery::__set_className(const std::string& val) {
+  this->className = val;
+}
+
+void RelayQuery::__set_rank(const int32_t val) {
+  this->rank = val;
+}
+
+void RelayQuery::__set_quantile(const double val) {
+  this->quantile = val;
+}
+
+void RelayQuery::__set_coverageTarget(const double val) {
+  this->coverageTarget = val;
+}
+
+void RelayQuery::__set_latencyTargetUs(const int64_t val) {
+  this->latencyTargetUs = val;
+}
+
+void RelayQuery::__set_sinceArrivalUs(const int64_t val) {
+  this->sinceArrivalUs = val;
+}
+
+void RelayQuery::__set_remainingUs(const int64_t val) {
+  this->remainingUs = val;
+}
+
+void RelayQuery::__set_repeatable(const bool val) {
+  this->repeatable = val;
+}
+
+void RelayQuery::__set_indexVersion(const int64_t val) {
+  this->indexVersion = val;
+__isset.indexVersion = true;
+}
+
+void RelayQuery::__set_shards(const std::vector<int32_t> & val) {
+  this->shards = val;
+}
+
+void RelayQuery::__set_plainServices(const std::vector<std::string> & val) {
+  this->plainServices = val;
+}
+
+void RelayQuery::__set_text(const std::string& val) {
+  this->text = val;
+}
+
+void RelayQuery::__set_issuedAtMs(const int64_t val) {
+  this->issuedAtMs = val;
+__isset.issuedAtMs = true;
+}
+std::ostream& operator<<(std::ostream& out, const RelayQuery& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RelayQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_origin = false;
+  bool isset_originStartId = false;
+  bool isset_relayId = false;
+  bool isset_requestId = false;
+  bool isset_className = false;
+  bool isset_rank = false;
+  bool isset_quantile = false;
+  bool isset_coverageTarget = false;
+  bool isset_latencyTargetUs = false;
+  bool isset_sinceArrivalUs = false;
+  bool isset_remainingUs = false;
+  bool isset_repeatable = false;
+  bool isset_shards = false;
+  bool isset_plainServices = false;
+  bool isset_text = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->origin);
+          isset_origin = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->originStartId);
+          isset_originStartId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->relayId);
+          isset_relayId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->requestId);
+          isset_requestId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->className);
+          isset_className = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->rank);
+          isset_rank = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->quantile);
+          isset_quantile = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->coverageTarget);
+          isset_coverageTarget = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->latencyTargetUs);
+          isset_latencyTargetUs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sinceArrivalUs);
+          isset_sinceArrivalUs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->remainingUs);
+          isset_remainingUs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->repeatable);
+          isset_repeatable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->indexVersion);
+          this->__isset.indexVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->shards.clear();
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->shards.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
+            {
+              xfer += iprot->readI32(this->shards[_i26]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_shards = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->plainServices.clear();
+            uint32_t _size27;
+            ::apache::thrift::protocol::TType _etype30;
+            xfer += iprot->readListBegin(_etype30, _size27);
+            this->plainServices.resize(_size27);
+            uint32_t _i31;
+            for (_i31 = 0; _i31 < _size27; ++_i31)
+            {
+              xfer += iprot->readString(this->plainServices[_i31]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_plainServices = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->text);
+          isset_text = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->issuedAtMs);
+          this->__isset.issuedAtMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_origin)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_originStartId)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_relayId)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_requestId)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_className)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_rank)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_quantile)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_coverageTarget)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_latencyTargetUs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_sinceArrivalUs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_remainingUs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_repeatable)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_shards)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_plainServices)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_text)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t RelayQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RelayQuery");
+
+  xfer += oprot->writeFieldBegin("origin", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->origin);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("originStartId", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->originStartId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("relayId", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->relayId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requestId", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->requestId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("className", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->className);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rank", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->rank);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quantile", ::apache::thrift::protocol::T_DOUBLE, 7);
+  xfer += oprot->writeDouble(this->quantile);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("coverageTarget", ::apache::thrift::protocol::T_DOUBLE, 8);
+  xfer += oprot->writeDouble(this->coverageTarget);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("latencyTargetUs", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->latencyTargetUs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sinceArrivalUs", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->sinceArrivalUs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("remainingUs", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->remainingUs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("repeatable", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->repeatable);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.indexVersion) {
+    xfer += oprot->writeFieldBegin("indexVersion", ::apache::thrift::protocol::T_I64, 13);
+    xfer += oprot->writeI64(this->indexVersion);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("shards", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->shards.size()));
+    std::vector<int32_t> ::const_iterator _iter32;
+    for (_iter32 = this->shards.begin(); _iter32 != this->shards.end(); ++_iter32)
+    {
+      xfer += oprot->writeI32((*_iter32));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("plainServices", ::apache::thrift::protocol::T_LIST, 15);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->plainServices.size()));
+    std::vector<std::string> ::const_iterator _iter33;
+    for (_iter33 = this->plainServices.begin(); _iter33 != this->plainServices.end(); ++_iter33)
+    {
+      xfer += oprot->writeString((*_iter33));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 16);
+  xfer += oprot->writeString(this->text);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.issuedAtMs) {
+    xfer += oprot->writeFieldBegin("issuedAtMs", ::apache::thrift::protocol::T_I64, 17);
+    xfer += oprot->writeI64(this->issuedAtMs);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RelayQuery &a, RelayQuery &b) {
+  using ::std::swap;
+  swap(a.origin, b.origin);
+  swap(a.originStartId, b.originStartId);
+  swap(a.relayId, b.relayId);
+  swap(a.requestId, b.requestId);
+  swap(a.className, b.className);
+  swap(a.rank, b.rank);
+  swap(a.quantile, b.quantile);
+  swap(a.coverageTarget, b.coverageTarget);
+  swap(a.latencyTargetUs, b.latencyTargetUs);
+  swap(a.sinceArrivalUs, b.sinceArrivalUs);
+  swap(a.remainingUs, b.remainingUs);
+  swap(a.repeatable, b.repeatable);
+  swap(a.indexVersion, b.indexVersion);
+  swap(a.shards, b.shards);
+  swap(a.plainServices, b.plainServices);
+  swap(a.text, b.text);
+  swap(a.issuedAtMs, b.issuedAtMs);
+  swap(a.__isset, b.__isset);
+}
+
+RelayQuery::RelayQuery(const RelayQuery& other34) {
+  origin = other34.origin;
+  originStartId = other34.originStartId;
+  relayId = other34.relayId;
+  requestId = other34.requestId;
+  className = other34.className;
+  rank = other34.rank;
+  quantile = other34.quantile;
+  coverageTarget = other34.coverageTarget;
+  latencyTargetUs = other34.latencyTargetUs;
+  sinceArrivalUs = other34.sinceArrivalUs;
+  remainingUs = other34.remainingUs;
+  repeatable = other34.repeatable;
+  indexVersion = other34.indexVersion;
+  shards = other34.shards;
+  plainServices = other34.plainServices;
+  text = other34.text;
+  issuedAtMs = other34.issuedAtMs;
+  __isset = other34.__isset;
+}
+RelayQuery& RelayQuery::operator=(const RelayQuery& other35) {
+  origin = other35.origin;
+  originStartId = other35.originStartId;
+  relayId = other35.relayId;
+  requestId = other35.requestId;
+  className = other35.className;
+  rank = other35.rank;
+  quantile = other35.quantile;
+  coverageTarget = other35.coverageTarget;
+  latencyTargetUs = other35.latencyTargetUs;
+  sinceArrivalUs = other35.sinceArrivalUs;
+  remainingUs = other35.remainingUs;
+  repeatable = other35.repeatable;
+  indexVersion = other35.indexVersion;
+  shards = other35.shards;
+  plainServices = other35.plainServices;
+  text = other35.text;
+  issuedAtMs = other35.issuedAtMs;
+  __isset = other35.__isset;
+  return *this;
+}
+void RelayQuery::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RelayQuery(";
+  out << "origin=" << to_string(origin);
+  out << ", " << "originStartId=" << to_string(originStartId);
+  out << ", " << "relayId=" << to_string(relayId);
+  out << ", " << "requestId=" << to_string(requestId);
+  out << ", " << "className=" << to_string(className);
+  out << ", " << "rank=" << to_string(rank);
+  out << ", " << "quantile=" << to_string(quantile);
+  out << ", " << "coverageTarget=" << to_string(coverageTarget);
+  out << ", " << "latencyTargetUs=" << to_string(latencyTargetUs);
+  out << ", " << "sinceArrivalUs=" << to_string(sinceArrivalUs);
+  out << ", " << "remainingUs=" << to_string(remainingUs);
+  out << ", " << "repeatable=" << to_string(repeatable);
+  out << ", " << "indexVersion="; (__isset.indexVersion ? (out << to_string(indexVersion)) : (out << "<null>"));
+  out << ", " << "shards=" << to_string(shards);
+  out << ", " << "plainServices=" << to_string(plainServices);
+  out << ", " << "text=" << to_string(text);
+  out << ", " << "issuedAtMs="; (__isset.issuedAtMs ? (out << to_string(issuedAtMs)) : (out << "<null>"));
+  out << ")";
+}
+
+
+RelayResult::~RelayResult() noexcept {
+}
+
+
+void RelayResult::__set_shard(const int32_t val) {
+  this->shard = val;
+}
+
+void RelayResult::__set_json(const std::string& val) {
+  this->json = val;
+}
+std::ostream& operator<<(std::ostream& out, const RelayResult& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RelayResult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_shard = false;
+  bool isset_json = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->shard);
+          isset_shard = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->json);
+          isset_json = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_shard)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_json)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t RelayResult::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RelayResult");
+
+  xfer += oprot->writeFieldBegin("shard", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->shard);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("json", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->json);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RelayResult &a, RelayResult &b) {
+  using ::std::swap;
+  swap(a.shard, b.shard);
+  swap(a.json, b.json);
+}
+
+RelayResult::RelayResult(const RelayResult& other36) {
+  shard = other36.shard;
+  json = other36.json;
+}
+RelayResult& RelayResult::operator=(const RelayResult& other37) {
+  shard = other37.shard;
+  json = other37.json;
+  return *this;
+}
+void RelayResult::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RelayResult(";
+  out << "shard=" << to_string(shard);
+  out << ", " << "json=" << to_string(json);
+  out << ")";
+}
+
+
+RelayAnswer::~RelayAnswer() noexcept {
+}
+
+
+void RelayAnswer::__set_relayId(const int64_t val) {
+  this->relayId = val;
+}
+
+void RelayAnswer::__set_kind(const int32_t val) {
+  this->kind = val;
+}
+
+void RelayAnswer::__set_ran(const int32_t val) {
+  this->ran = val;
+}
+
+void RelayAnswer::__set_indexVersion(const int64_t val) {
+  this->indexVersion = val;
+__isset.indexVersion = true;
+}
+
+void RelayAnswer::__set_results(const std::vector<RelayResult> & val) {
+  this->results = val;
+}
+
+void RelayAnswer::__set_missing(const std::vector<int32_t> & val) {
+  this->missing = val;
+}
+
+void RelayAnswer::__set_notOwned(const std::vector<int32_t> & val) {
+  this->notOwned = val;
+}
+
+void RelayAnswer::__set_versionLost(const bool val) {
+  this->versionLost = val;
+}
+
+void RelayAnswer::__set_detail(const std::string& val) {
+  this->detail = val;
+}
+std::ostream& operator<<(std::ostream& out, const RelayAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RelayAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_relayId = false;
+  bool isset_kind = false;
+  bool isset_ran = false;
+  bool isset_results = false;
+  bool isset_missing = false;
+  bool isset_notOwned = false;
+  bool isset_versionLost = false;
+  bool isset_detail = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->relayId);
+          isset_relayId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          isset_kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ran);
+          isset_ran = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->indexVersion);
+          this->__isset.indexVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->results.clear();
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->results.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
+            {
+              xfer += this->results[_i42].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_results = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->missing.clear();
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->missing.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
+            {
+              xfer += iprot->readI32(this->missing[_i47]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_missing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->notOwned.clear();
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->notOwned.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
+            {
+              xfer += iprot->readI32(this->notOwned[_i52]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_notOwned = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->versionLost);
+          isset_versionLost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->detail);
+          isset_detail = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_relayId)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_kind)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_ran)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_results)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_missing)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_notOwned)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_versionLost)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_detail)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t RelayAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RelayAnswer");
+
+  xfer += oprot->writeFieldBegin("relayId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->relayId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ran", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->ran);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.indexVersion) {
+    xfer += oprot->writeFieldBegin("indexVersion", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->indexVersion);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
+    std::vector<RelayResult> ::const_iterator _iter53;
+    for (_iter53 = this->results.begin(); _iter53 != this->results.end(); ++_iter53)
+    {
+      xfer += (*_iter53).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("missing", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->missing.size()));
+    std::vector<int32_t> ::const_iterator _iter54;
+    for (_iter54 = this->missing.begin(); _iter54 != this->missing.end(); ++_iter54)
+    {
+      xfer += oprot->writeI32((*_iter54));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("notOwned", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->notOwned.size()));
+    std::vector<int32_t> ::const_iterator _iter55;
+    for (_iter55 = this->notOwned.begin(); _iter55 != this->notOwned.end(); ++_iter55)
+    {
+      xfer += oprot->writeI32((*_iter55));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("versionLost", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->versionLost);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("detail", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->detail);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RelayAnswer &a, RelayAnswer &b) {
+  using ::std::swap;
+  swap(a.relayId, b.relayId);
+  swap(a.kind, b.kind);
+  swap(a.ran, b.ran);
+  swap(a.indexVersion, b.indexVersion);
+  swap(a.results, b.results);
+  swap(a.missing, b.missing);
+  swap(a.notOwned, b.notOwned);
+  swap(a.versionLost, b.versionLost);
+  swap(a.detail, b.detail);
+  swap(a.__isset, b.__isset);
+}
+
+RelayAnswer::RelayAnswer(const RelayAnswer& other56) {
+  relayId = other56.relayId;
+  kind = other56.kind;
+  ran = other56.ran;
+  indexVersion = other56.indexVersion;
+  results = other56.results;
+  missing = other56.missing;
+  notOwned = other56.notOwned;
+  versionLost = other56.versionLost;
+  detail = other56.detail;
+  __isset = other56.__isset;
+}
+RelayAnswer& RelayAnswer::operator=(const RelayAnswer& other57) {
+  relayId = other57.relayId;
+  kind = other57.kind;
+  ran = other57.ran;
+  indexVersion = other57.indexVersion;
+  results = other57.results;
+  missing = other57.missing;
+  notOwned = other57.notOwned;
+  versionLost = other57.versionLost;
+  detail = other57.detail;
+  __isset = other57.__isset;
+  return *this;
+}
+void RelayAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RelayAnswer(";
+  out << "relayId=" << to_string(relayId);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "ran=" << to_string(ran);
+  out << ", " << "indexVersion="; (__isset.indexVersion ? (out << to_string(indexVersion)) : (out << "<null>"));
+  out << ", " << "results=" << to_string(results);
+  out << ", " << "missing=" << to_string(missing);
+  out << ", " << "notOwned=" << to_string(notOwned);
+  out << ", " << "versionLost=" << to_string(versionLost);
+  out << ", " << "detail=" << to_string(detail);
+  out << ")";
+}
+
+
+RelayCancel::~RelayCancel() noexcept {
+}
+
+
+void RelayCancel::__set_origin(const std::string& val) {
+  this->origin = val;
+}
+
+void RelayCancel::__set_originStartId(const int64_t val) {
+  this->originStartId = val;
+}
+
+void RelayCancel::__set_relayId(const int64_t val) {
+  this->relayId = val;
+}
+std::ostream& operator<<(std::ostream& out, const RelayCancel& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RelayCancel::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_origin = false;
+  bool isset_originStartId = false;
+  bool isset_relayId = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->origin);
+          isset_origin = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->originStartId);
+          isset_originStartId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->relayId);
+          isset_relayId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_origin)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_originStartId)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_relayId)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t RelayCancel::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RelayCancel");
+
+  xfer += oprot->writeFieldBegin("origin", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->origin);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("originStartId", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->originStartId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("relayId", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->relayId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RelayCancel &a, RelayCancel &b) {
+  using ::std::swap;
+  swap(a.origin, b.origin);
+  swap(a.originStartId, b.originStartId);
+  swap(a.relayId, b.relayId);
+}
+
+RelayCancel::RelayCancel(const RelayCancel& other58) {
+  origin = other58.origin;
+  originStartId = other58.originStartId;
+  relayId = other58.relayId;
+}
+RelayCancel& RelayCancel::operator=(const RelayCancel& other59) {
+  origin = other59.origin;
+  originStartId = other59.originStartId;
+  relayId = other59.relayId;
+  return *this;
+}
+void RelayCancel::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RelayCancel(";
+  out << "origin=" << to_string(origin);
+  out << ", " << "originStartId=" << to_string(originStartId);
+  out << ", " << "relayId=" << to_string(relayId);
+  out << ")";
+}
+
 }} // namespace
--- a/lib/peer/gen/peer_types.h
+++ b/lib/peer/gen/peer_types.h
@@ -31,6 +31,14 @@
 
 class Exchange;
 
+class RelayQuery;
+
+class RelayResult;
+
+class RelayAnswer;
+
+class RelayCancel;
+
 
 class MemberUpdate : public virtual ::apache::thrift::TBase {
  public:
@@ -318,6 +326,330 @@
 
 std::ostream& operator<<(std::ostream& out, const Exchange& obj);
 
+typedef struct _RelayQuery__isset {
+  _RelayQuery__isset() : indexVersion(false), issuedAtMs(false) {}
+  bool indexVersion :1;
+  bool issuedAtMs :1;
+} _RelayQuery__isset;
+
+class RelayQuery : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayQuery(const RelayQuery&);
+  RelayQuery& operator=(const RelayQuery&);
+  RelayQuery() noexcept
+             : origin(),
+               originStartId(0),
+               relayId(0),
+               requestId(),
+               className(),
+               rank(0),
+               quantile(0),
+               coverageTarget(0),
+               latencyTargetUs(0),
+               sinceArrivalUs(0),
+               remainingUs(0),
+               repeatable(0),
+               indexVersion(0),
+               text(),
+               issuedAtMs(0) {
+  }
+
+  virtual ~RelayQuery() noexcept;
+  std::string origin;
+  int64_t originStartId;
+  int64_t relayId;
+  std::string requestId;
+  std::string className;
+  int32_t rank;
+  double quantile;
+  double coverageTarget;
+  int64_t latencyTargetUs;
+  int64_t sinceArrivalUs;
+  int64_t remainingUs;
+  bool repeatable;
+  int64_t indexVersion;
+  std::vector<int32_t>  shards;
+  std::vector<std::string>  plainServices;
+  std::string text;
+  int64_t issuedAtMs;
+
+  _RelayQuery__isset __isset;
+
+  void __set_origin(const std::string& val);
+
+  void __set_originStartId(const int64_t val);
+
+  void __set_relayId(const int64_t val);
+
+  void __set_requestId(const std::string& val);
+
+  void __set_className(const std::string& val);
+
+  void __set_rank(const int32_t val);
+
+  void __set_quantile(const double val);
+
+  void __set_coverageTarget(const double val);
+
+  void __set_latencyTargetUs(const int64_t val);
+
+  void __set_sinceArrivalUs(const int64_t val);
+
+  void __set_remainingUs(const int64_t val);
+
+  void __set_repeatable(const bool val);
+
+  void __set_indexVersion(const int64_t val);
+
+  void __set_shards(const std::vector<int32_t> & val);
+
+  void __set_plainServices(const std::vector<std::string> & val);
+
+  void __set_text(const std::string& val);
+
+  void __set_issuedAtMs(const int64_t val);
+
+  bool operator == (const RelayQuery & rhs) const
+  {
+    if (!(origin == rhs.origin))
+      return false;
+    if (!(originStartId == rhs.originStartId))
+      return false;
+    if (!(relayId == rhs.relayId))
+      return false;
+    if (!(requestId == rhs.requestId))
+      return false;
+    if (!(className == rhs.className))
+      return false;
+    if (!(rank == rhs.rank))
+      return false;
+    if (!(quantile == rhs.quantile))
+      return false;
+    if (!(coverageTarget == rhs.coverageTarget))
+      return false;
+    if (!(latencyTargetUs == rhs.latencyTargetUs))
+      return false;
+    if (!(sinceArrivalUs == rhs.sinceArrivalUs))
+      return false;
+    if (!(remainingUs == rhs.remainingUs))
+      return false;
+    if (!(repeatable == rhs.repeatable))
+      return false;
+    if (__isset.indexVersion != rhs.__isset.indexVersion)
+      return false;
+    else if (__isset.indexVersion && !(indexVersion == rhs.indexVersion))
+      return false;
+    if (!(shards == rhs.shards))
+      return false;
+    if (!(plainServices == rhs.plainServices))
+      return false;
+    if (!(text == rhs.text))
+      return false;
+    if (__isset.issuedAtMs != rhs.__isset.issuedAtMs)
+      return false;
+    else if (__isset.issuedAtMs && !(issuedAtMs == rhs.issuedAtMs))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayQuery &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayQuery & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayQuery &a, RelayQuery &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayQuery& obj);
+
+
+class RelayResult : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayResult(const RelayResult&);
+  RelayResult& operator=(const RelayResult&);
+  RelayResult() noexcept
+              : shard(0),
+                json() {
+  }
+
+  virtual ~RelayResult() noexcept;
+  int32_t shard;
+  std::string json;
+
+  void __set_shard(const int32_t val);
+
+  void __set_json(const std::string& val);
+
+  bool operator == (const RelayResult & rhs) const
+  {
+    if (!(shard == rhs.shard))
+      return false;
+    if (!(json == rhs.json))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayResult &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayResult & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayResult &a, RelayResult &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayResult& obj);
+
+typedef struct _RelayAnswer__isset {
+  _RelayAnswer__isset() : indexVersion(false) {}
+  bool indexVersion :1;
+} _RelayAnswer__isset;
+
+class RelayAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayAnswer(const RelayAnswer&);
+  RelayAnswer& operator=(const RelayAnswer&);
+  RelayAnswer() noexcept
+              : relayId(0),
+                kind(0),
+                ran(0),
+                indexVersion(0),
+                versionLost(0),
+                detail() {
+  }
+
+  virtual ~RelayAnswer() noexcept;
+  int64_t relayId;
+  int32_t kind;
+  int32_t ran;
+  int64_t indexVersion;
+  std::vector<RelayResult>  results;
+  std::vector<int32_t>  missing;
+  std::vector<int32_t>  notOwned;
+  bool versionLost;
+  std::string detail;
+
+  _RelayAnswer__isset __isset;
+
+  void __set_relayId(const int64_t val);
+
+  void __set_kind(const int32_t val);
+
+  void __set_ran(const int32_t val);
+
+  void __set_indexVersion(const int64_t val);
+
+  void __set_results(const std::vector<RelayResult> & val);
+
+  void __set_missing(const std::vector<int32_t> & val);
+
+  void __set_notOwned(const std::vector<int32_t> & val);
+
+  void __set_versionLost(const bool val);
+
+  void __set_detail(const std::string& val);
+
+  bool operator == (const RelayAnswer & rhs) const
+  {
+    if (!(relayId == rhs.relayId))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(ran == rhs.ran))
+      return false;
+    if (__isset.indexVersion != rhs.__isset.indexVersion)
+      return false;
+    else if (__isset.indexVersion && !(indexVersion == rhs.indexVersion))
+      return false;
+    if (!(results == rhs.results))
+      return false;
+    if (!(missing == rhs.missing))
+      return false;
+    if (!(notOwned == rhs.notOwned))
+      return false;
+    if (!(versionLost == rhs.versionLost))
+      return false;
+    if (!(detail == rhs.detail))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayAnswer &a, RelayAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayAnswer& obj);
+
+
+class RelayCancel : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayCancel(const RelayCancel&);
+  RelayCancel& operator=(const RelayCancel&);
+  RelayCancel() noexcept
+              : origin(),
+                originStartId(0),
+                relayId(0) {
+  }
+
+  virtual ~RelayCancel() noexcept;
+  std::string origin;
+  int64_t originStartId;
+  int64_t relayId;
+
+  void __set_origin(const std::string& val);
+
+  void __set_originStartId(const int64_t val);
+
+  void __set_relayId(const int64_t val);
+
+  bool operator == (const RelayCancel & rhs) const
+  {
+    if (!(origin == rhs.origin))
+      return false;
+    if (!(originStartId == rhs.originStartId))
+      return false;
+    if (!(relayId == rhs.relayId))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayCancel &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayCancel & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayCancel &a, RelayCancel &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayCancel& obj);
+
 }} // namespace
 
 #endif
--- a/proto/peer.thrift
+++ b/proto/peer.thrift
@@ -38,3 +38,51 @@
   5: optional ConfigurationText configuration
   6: optional string shardMap
 }
+
+// A part of a query that the origin sends to an instance that holds connections to its servers:
+// the body of `POST /peer/query`. Times are in microseconds from the moment of sending.
+struct RelayQuery {
+  1: required string origin
+  2: required i64 originStartId
+  3: required i64 relayId
+  4: required string requestId
+  5: required string className
+  6: required i32 rank
+  7: required double quantile
+  8: required double coverageTarget
+  9: required i64 latencyTargetUs
+  10: required i64 sinceArrivalUs
+  11: required i64 remainingUs
+  12: required bool repeatable
+  13: optional i64 indexVersion
+  14: required list<i32> shards
+  15: required list<string> plainServices
+  16: required string text
+  17: optional i64 issuedAtMs
+}
+
+struct RelayResult {
+  1: required i32 shard
+  2: required string json
+}
+
+// The reply to a RelayQuery. Plain services appear as shards numbered from 2^31 in the order of
+// the query.
+struct RelayAnswer {
+  1: required i64 relayId
+  2: required i32 kind
+  3: required i32 ran
+  4: optional i64 indexVersion
+  5: required list<RelayResult> results
+  6: required list<i32> missing
+  7: required list<i32> notOwned
+  8: required bool versionLost
+  9: required string detail
+}
+
+// The body of `POST /peer/cancel`: the origin does not need the answer any more.
+struct RelayCancel {
+  1: required string origin
+  2: required i64 originStartId
+  3: required i64 relayId
+}
