--- a/unittests/query/query_engine_test.cpp
+++ b/unittests/query/query_engine_test.cpp
@@ -63,7 +63,9 @@
         EXPECT_EQ((*answer)->kind, answer_kind::Complete);
     }
     const std::size_t before = requestsTo(0);
+    const std::uint64_t retriesBefore = counted("query.attempts.retry");
     load(100, milliseconds(10));
+    EXPECT_EQ(counted("query.attempts.retry"), retriesBefore) << "probes are not retried";
     // Probes back off to one per 1.6 s.
     EXPECT_LE(requestsTo(0) - before, 2U);
     m_connector.at(0).silent = false;
@@ -85,6 +87,34 @@
     EXPECT_LE(requestsTo(0) - before, 10U);
 }
 
+// Shed replies come fast, so that a server that sheds everything would look like the best one.
+TEST_F(engine_fixture, sheddingServerIsNotPreferred)
+{
+    build(1);
+    warmUp();
+    m_connector.at(0).latency = milliseconds(1);
+    m_connector.at(0).status = 503;
+    m_connector.at(0).notRun = true;
+    const std::size_t before = requestsTo(0);
+    const auto answers = load(100, milliseconds(10));
+    m_loop.advance(milliseconds(200));
+    for (const auto &answer : answers)
+        EXPECT_EQ((*answer)->kind, answer_kind::Complete);
+    EXPECT_LE(requestsTo(0) - before, 10U);
+}
+
+// Servers load a new version one after the other; the query must find the first that holds it.
+TEST_F(engine_fixture, serversWithoutTheVersionArePassedOver)
+{
+    build(2);
+    m_connector.at(0).versions = m_connector.at(1).versions = {7};
+    const auto got = run(request());
+    m_loop.advance(milliseconds(140));
+    ASSERT_TRUE(got->has_value());
+    EXPECT_EQ((*got)->kind, answer_kind::Complete);
+    EXPECT_EQ(counted("query.restarts"), 0U);
+}
+
 TEST_F(engine_fixture, partialAnswerAtTheDeadlineNamesTheMissingShard)
 {
     build(3);
@@ -246,6 +276,23 @@
     EXPECT_EQ(m_connector.at(500).requests[0].header("X-Index-Version"), nullptr);
 }
 
+// Attempts that wait for a connection when the sign arrives must not follow it.
+TEST_F(engine_fixture, waitingAttemptsLeaveADrainingServer)
+{
+    build(1);
+    m_connector.at(1).latency = m_connector.at(2).latency = milliseconds(30);
+    warmUp();
+    m_connector.at(0).draining = true;
+    const std::size_t before = requestsTo(0);
+    const auto answers = load(12, duration::zero());
+    EXPECT_GT(requestsTo(0), before);
+    const std::size_t sent = requestsTo(0);
+    m_loop.advance(milliseconds(140));
+    EXPECT_EQ(requestsTo(0), sent);
+    for (const auto &answer : answers)
+        EXPECT_EQ((*answer)->kind, answer_kind::Complete);
+}
+
 // Replies that come after the engine is gone must not reach it.
 TEST_F(engine_fixture, canBeDestroyedWithAttemptsInFlight)
 {
