Relay parts of queries to instances that own connections

At full size the connection limits leave an instance without a connection to most servers. A query is now split: shards with a usable connection here run on the local engine, the others go to the owners of connections, one message per owner. With full shares queries pass straight to the engine.

--- a/include/peridotwheel/limits/connection_share.h
+++ b/include/peridotwheel/limits/connection_share.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <vector>
 
 namespace peridotwheel {
 
@@ -27,6 +28,8 @@
     /// Connections that this instance may hold to \p server. At least one if the limit suffices for
     /// all instances; otherwise the highest rendezvous weights get one each.
     std::uint32_t operator()(const server_id &server, std::uint32_t connectionLimit) const;
+    /// Instances with a share of at least one by this view, by descending rendezvous weight.
+    std::vector<instance_id> owners(const server_id &server, std::uint32_t connectionLimit) const;
     std::size_t instances() const { return m_counted.size(); }
 
 private:
--- a/include/peridotwheel/query/query.h
+++ b/include/peridotwheel/query/query.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -14,6 +15,19 @@
 
 namespace peridotwheel {
 
+/// Lets the owner of a running query end it early. The executor sets the hook when the query starts
+/// and clears it when the query ends.
+struct query_cancellation
+{
+    std::function<void()> hook;
+
+    void cancel()
+    {
+        if (const auto h = std::exchange(hook, nullptr))
+            h();
+    }
+};
+
 /// A checked request of a caller. The class is pinned at arrival, so that a configuration change
 /// does not move the targets of a running query.
 struct query_request
@@ -30,6 +44,14 @@
     bool repeatable = true;
     /// When the caller issued the request first; required if not repeatable.
     std::optional<wall_time> issuedAt;
+    /// Part of a query that another instance or the relay has pinned to this index version: it is
+    /// not restarted on another one. Absent: the current version.
+    std::optional<index_version> pinnedVersion;
+    /// Exactly these shards, ascending, instead of all of the sharded services; `services` then
+    /// names plain services only. Empty: as `services` says.
+    std::vector<shard_id> shards;
+    /// Ends the query early; null if nobody will.
+    std::shared_ptr<query_cancellation> cancellation;
 };
 
 /// Whether a request had an effect.
@@ -78,6 +100,8 @@
     std::optional<duration> retryAfter;
     /// What the caller should know or do, one line.
     std::string detail;
+    /// A server no longer held the pinned version.
+    bool versionLost = false;
 };
 
 using answer_hook = std::function<void(query_answer)>;
--- a/include/peridotwheel/query/query_engine.h
+++ b/include/peridotwheel/query/query_engine.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace peridotwheel {
 
@@ -54,6 +55,14 @@
     duration expectedServiceTime() const;
     /// No new work for this run of the server from now on.
     void noteServerLeaving(const server_id &server, start_id start);
+    /// Connections that this instance may hold to the server at present; 0 if it is unknown.
+    std::uint32_t connectionShare(const server_id &server) const;
+    /// Whether new work may go to the server from here, and it is not suspect.
+    bool usable(const server_id &server) const;
+    /// Instances that may hold connections to the server, by descending rendezvous weight.
+    std::vector<instance_id> connectionOwners(const server_id &server) const;
+    /// Rises whenever connection shares or owners may have changed.
+    std::uint64_t shareEpoch() const;
     /// Called on the first sign that a server is leaving, if the sign came in a reply.
     std::function<void(server_id, start_id)> onServerLeaving;
 
--- a/include/peridotwheel/state/section.h
+++ b/include/peridotwheel/state/section.h
@@ -72,7 +72,7 @@
     }
 
     /// Calls \p hook after each change until the returned subscription is destroyed.
-    [[nodiscard]] subscription subscribe(change_hook hook)
+    [[nodiscard]] subscription subscribe(change_hook hook) const
     {
         auto it = m_hooks.insert(m_hooks.end(), std::move(hook));
         return subscription([this, it] { m_hooks.erase(it); });
@@ -80,7 +80,7 @@
 
 private:
     value_ptr m_value;
-    std::list<change_hook> m_hooks;
+    mutable std::list<change_hook> m_hooks; // readers subscribe
 };
 
 } // namespace peridotwheel
--- a/lib/bench/experiment_list.h
+++ b/lib/bench/experiment_list.h
@@ -17,6 +17,8 @@
 void addControlExperiments(std::vector<experiment> &list);
 /// throughput.
 void addThroughputExperiment(std::vector<experiment> &list);
+/// inner-hop.
+void addRelayExperiment(std::vector<experiment> &list);
 
 } // namespace peridotwheel
 
--- a/lib/bench/experiments.cpp
+++ b/lib/bench/experiments.cpp
@@ -13,6 +13,7 @@
         addClaimExperiments(list);
         addControlExperiments(list);
         addThroughputExperiment(list);
+        addRelayExperiment(list);
         return list;
     }();
     return all;
--- a/lib/entry/entry_instance.cpp
+++ b/lib/entry/entry_instance.cpp
@@ -12,6 +12,8 @@
 #include "peridotwheel/platform/http_platform_client.h"
 #include "peridotwheel/platform/platform_health_tracker.h"
 #include "peridotwheel/platform/watcher_election.h"
+#include "peridotwheel/relay/relay_service.h"
+#include "peridotwheel/relay/relaying_executor.h"
 #include "peridotwheel/support/libevent_loop.h"
 #include "peridotwheel/support/log.h"
 #include "peridotwheel/timeline/event_ring.h"
@@ -22,7 +24,14 @@
 
 /// Platform, peers and backend servers draw their own streams of random numbers, so that a change
 /// in one does not shift the others.
-enum seed_offset : std::uint64_t { EngineSeed = 1, AdmissionSeed, ControlSeed, ClaimSeed, IdSeed };
+enum seed_offset : std::uint64_t {
+    EngineSeed = 1,
+    AdmissionSeed,
+    ControlSeed,
+    ClaimSeed,
+    IdSeed,
+    RelaySeed,
+};
 
 http_platform_options platformOptions(const settings &s)
 {
@@ -55,6 +64,14 @@
     return limits;
 }
 
+relay_hooks relayHooks(const query_engine &engine)
+{
+    return {[&engine](const server_id &id) { return engine.connectionShare(id); },
+            [&engine](const server_id &id) { return engine.usable(id); },
+            [&engine](const server_id &id) { return engine.connectionOwners(id); },
+            [&engine] { return engine.shareEpoch(); }};
+}
+
 /// The status page shows a stored claim as a resend of the request would be answered.
 std::optional<query_answer> answerFrom(const claim_view &view)
 {
@@ -104,6 +121,8 @@
     http_platform_client platform;
     platform_health_tracker health;
     query_engine engine;
+    relaying_executor relay;
+    relay_service relayedParts;
     admission_controller admission;
     claiming_executor claiming;
     claim_lookup claimLookup;
@@ -128,9 +147,12 @@
     , health(loop, board, events.sink())
     , engine(loop, board, *connector, counters, events.sink(), o.seed + EngineSeed, s.id,
              s.dataCentre, o.engine)
-    , admission(loop, board, engine,
-                {[this] { return engine.concurrencyLimit(); },
-                 [this] { return engine.expectedServiceTime(); }},
+    , relay(loop, board, engine, http, relayHooks(engine), counters, events.sink(),
+            o.seed + RelaySeed, s.id, o.start, s.dataCentre)
+    , relayedParts(loop, board, engine, relayHooks(engine), counters)
+    , admission(loop, board, relay,
+                {[this] { return relay.concurrencyLimit(engine.concurrencyLimit()); },
+                 [this] { return relay.expectedServiceTime(engine.expectedServiceTime()); }},
                 counters, events.sink(), o.seed + AdmissionSeed, o.admission)
     , claiming(loop, platform, admission, s.id, claimRandom, events.sink(), o.claims)
     , claimLookup(platform)
@@ -146,7 +168,10 @@
                        callers.handle(request, std::move(out));
                    })
     , drain(loop, board,
-            {[this] { return callers.inProgress() + claiming.pendingRecords(); },
+            {[this] {
+                 return callers.inProgress() + claiming.pendingRecords() +
+                        relayedParts.inProgress();
+             },
              [this] {
                  if (control)
                      control->announceLeaving();
@@ -173,6 +198,8 @@
     p.peerServer = std::make_unique<http_server>(
             m_loop, peerLimits(),
             [&p](const http_request &request, std::shared_ptr<http_responder> out) {
+                if (relay_service::handles(request.path))
+                    return p.relayedParts.handle(request, out);
                 p.control->peerHook()(request, std::move(out));
             });
     p.operatorServer = std::make_unique<http_server>(
--- a/lib/limits/connection_share.cpp
+++ b/lib/limits/connection_share.cpp
@@ -62,4 +62,22 @@
     return base + (heavier < remainder ? 1 : 0);
 }
 
+std::vector<instance_id> connection_share::owners(const server_id &server,
+                                                  std::uint32_t connectionLimit) const
+{
+    std::vector<std::pair<std::uint64_t, const instance_id *>> weighted;
+    weighted.reserve(m_counted.size());
+    for (const auto &id : m_counted)
+        weighted.emplace_back(rendezvousWeight(server.value(), id.value()), &id);
+    const std::size_t count = std::min<std::size_t>(connectionLimit, weighted.size());
+    const auto heavier = [](const auto &a, const auto &b) { return a.first > b.first; };
+    std::partial_sort(weighted.begin(), weighted.begin() + static_cast<std::ptrdiff_t>(count),
+                      weighted.end(), heavier);
+    std::vector<instance_id> out;
+    out.reserve(count);
+    for (std::size_t i = 0; i < count; ++i)
+        out.push_back(*weighted[i].second);
+    return out;
+}
+
 } // namespace peridotwheel
--- a/lib/query/engine_state.cpp
+++ b/lib/query/engine_state.cpp
@@ -84,7 +84,10 @@
     , m_lastTick(l.now())
 {
     m_onServers = board.servers.subscribe([this](const auto &) { updateServers(); });
-    m_onMembers = board.members.subscribe([this](const auto &) { updateShares(); });
+    m_onMembers = board.members.subscribe([this](const auto &) {
+        if (share.observe(board.members.value(), loop.now()))
+            updateShares();
+    });
     share.observe(board.members.value(), loop.now());
     updateServers();
     scheduleTick();
@@ -199,6 +202,7 @@
 void engine_state::updateShares()
 {
     share.observe(board.members.value(), loop.now());
+    ++shareEpoch;
     for (const auto &[id, server] : servers)
         server->applyShare(share(id, server->record.connectionLimit));
     updateConcurrency();
--- a/lib/query/engine_state.h
+++ b/lib/query/engine_state.h
@@ -83,6 +83,7 @@
     std::string attemptPrefix;
     std::uint64_t nextAttempt = 1;
     std::uint64_t nextScatter = 1;
+    std::uint64_t shareEpoch = 0;
     std::uint32_t concurrency = 1;
     /// End of the last time span in which this process did not run.
     time_point stalledUntil{};
--- a/lib/query/query_engine.cpp
+++ b/lib/query/query_engine.cpp
@@ -48,6 +48,33 @@
     return m_state->queryLatency.p90();
 }
 
+std::uint32_t query_engine::connectionShare(const server_id &server) const
+{
+    const auto it = m_state->servers.find(server);
+    if (it == m_state->servers.end())
+        return 0;
+    return m_state->share(server, it->second->record.connectionLimit);
+}
+
+bool query_engine::usable(const server_id &server) const
+{
+    const auto it = m_state->servers.find(server);
+    return it != m_state->servers.end() && it->second->eligible() && !it->second->stats.suspect();
+}
+
+std::vector<instance_id> query_engine::connectionOwners(const server_id &server) const
+{
+    const auto it = m_state->servers.find(server);
+    if (it == m_state->servers.end())
+        return {};
+    return m_state->share.owners(server, it->second->record.connectionLimit);
+}
+
+std::uint64_t query_engine::shareEpoch() const
+{
+    return m_state->shareEpoch;
+}
+
 void query_engine::noteServerLeaving(const server_id &server, start_id start)
 {
     m_state->noteLeaving(server, start, false);
--- a/lib/query/running_query.cpp
+++ b/lib/query/running_query.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <cassert>
+#include <functional>
+#include <iterator>
 
 namespace peridotwheel {
 
@@ -28,6 +30,7 @@
 void running_query::start()
 {
     m_inRun = true;
+    listenForCancel();
     const bool inTime = m_startedAt < m_finishAt;
     if (!inTime)
         refuse(answer_kind::Expired, "the deadline had passed before the query started; not run");
@@ -44,13 +47,23 @@
 
 bool running_query::pin()
 {
-    const shard_map_ptr map = m_state.board.snapshots.value().current;
+    const snapshot_set &known = m_state.board.snapshots.value();
+    shard_map_ptr map = known.current;
+    if (m_request.pinnedVersion) {
+        const auto it = known.retained.find(*m_request.pinnedVersion);
+        map = it == known.retained.end() ? nullptr : it->second;
+    }
     const scatter_plan_ptr sharded = map ? m_state.planOf(map) : nullptr;
     if (sharded) {
         m_version = map->version;
         m_plans.push_back(sharded);
     }
-    if (!m_request.services.empty())
+    if (m_request.pinnedVersion && !sharded) {
+        m_versionLost = true;
+        refuse(answer_kind::RefusedState, "the index version is not known here; not run");
+        return false;
+    }
+    if (!m_request.shards.empty() || !m_request.services.empty())
         return addServices(sharded.get());
     if (!sharded) {
         refuse(answer_kind::RefusedState,
@@ -64,9 +77,48 @@
     return true;
 }
 
+bool running_query::pinShards(const scatter_plan &sharded)
+{
+    const auto &wanted = m_request.shards;
+    std::size_t found = 0;
+    for (const auto &group : sharded.groups) {
+        std::vector<shard_id> shards;
+        std::set_intersection(group.shards.begin(), group.shards.end(), wanted.begin(),
+                              wanted.end(), std::back_inserter(shards));
+        found += shards.size();
+        if (!shards.empty())
+            addGroup(group, std::move(shards));
+    }
+    if (found == wanted.size())
+        return true;
+    refuse(answer_kind::RefusedInput, "a shard is not of this index version; not run");
+    return false;
+}
+
+void running_query::listenForCancel()
+{
+    if (!m_request.cancellation)
+        return;
+    m_request.cancellation->hook = [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && !self->m_over)
+            self->deliver(self->makeAnswer(false));
+    };
+}
+
 bool running_query::addServices(const scatter_plan *sharded)
 {
-    std::vector<shard_id> asked;
+    std::vector<shard_id> asked = m_request.shards;
+    if (!asked.empty()) {
+        const bool ascending = std::adjacent_find(asked.begin(), asked.end(),
+                                                  std::greater_equal<>()) == asked.end();
+        if (sharded == nullptr || !ascending) {
+            refuse(answer_kind::RefusedInput, "shards need an index version and order; not run");
+            return false;
+        }
+        if (!pinShards(*sharded))
+            return false;
+    }
     std::uint32_t nextPlain = firstPlainShard;
     std::vector<service_name> names = m_request.services;
     std::sort(names.begin(), names.end());
--- a/lib/query/running_query.h
+++ b/lib/query/running_query.h
@@ -56,6 +56,8 @@
     enum class failure_cause { NotSent, NotRun, VersionLost, MayHaveRun };
 
     bool pin();
+    bool pinShards(const scatter_plan &sharded);
+    void listenForCancel();
     bool addServices(const scatter_plan *sharded);
     void addGroup(const shard_group &group, std::vector<shard_id> shards);
     void dispatch(const group_list &groups, attempt_kind kind);
@@ -111,6 +113,7 @@
     bool m_inRun = false;
     bool m_over = false;
     bool m_restarted = false;
+    bool m_versionLost = false;
     bool m_anySent = false;
     bool m_ranSomewhere = false;
     /// Some shards may have more than one attempt.
--- a/lib/query/running_query_answer.cpp
+++ b/lib/query/running_query_answer.cpp
@@ -24,6 +24,7 @@
 {
     query_answer answer;
     answer.version = version();
+    answer.versionLost = m_versionLost;
     answer.covered = m_merge->covered();
     if (m_request.repeatable) {
         judgeRepeatable(answer, atDeadline);
@@ -89,6 +90,7 @@
     answer.kind = kind;
     answer.ran = sentSomewhere() ? ran_state::Unknown : ran_state::No;
     answer.version = version();
+    answer.versionLost = m_versionLost;
     answer.detail = std::move(detail);
     deliver(std::move(answer));
 }
--- a/lib/query/running_query_retry.cpp
+++ b/lib/query/running_query_retry.cpp
@@ -36,7 +36,9 @@
         g.unknown = true;
         return true;
     }
-    const bool restartable = m_request.repeatable && !m_restarted && newerVersionKnown();
+    m_versionLost |= cause == failure_cause::VersionLost;
+    const bool restartable =
+            m_request.repeatable && !m_request.pinnedVersion && !m_restarted && newerVersionKnown();
     if (cause == failure_cause::VersionLost && restartable) {
         restart();
         return false;
--- /dev/null
+++ b/lib/relay/relay_merge.h
@@ -0,0 +1,40 @@
+#ifndef PERIDOTWHEEL_LIB_RELAY_RELAY_MERGE_H
+#define PERIDOTWHEEL_LIB_RELAY_RELAY_MERGE_H
+
+#include "peridotwheel/query/query.h"
+
+#include <cstddef>
+#include <vector>
+
+namespace peridotwheel {
+
+/// Gathers the parts of one split query. Nothing enters the answer that is not of the pinned
+/// version and asked for by the part.
+class relay_merge
+{
+public:
+    /// \p asked must be ascending without duplicates. \p version is absent if only plain services
+    /// are asked.
+    relay_merge(std::optional<index_version> version, std::vector<shard_id> asked);
+
+    /// Takes what is new of a part that asked for \p partShards (ascending); returns the results
+    /// dropped.
+    std::size_t offer(const std::vector<shard_id> &partShards, index_version version,
+                      std::vector<shard_result> results);
+    bool has(shard_id shard) const;
+    bool complete() const { return m_answered == m_asked.size(); }
+    coverage covered() const;
+    std::vector<shard_result> takeResults();
+
+private:
+    std::optional<std::size_t> indexOf(shard_id shard) const;
+
+    std::optional<index_version> m_version;
+    std::vector<shard_id> m_asked;
+    std::vector<std::string> m_results; // by index in m_asked; empty if missing
+    std::size_t m_answered = 0;
+};
+
+} // namespace peridotwheel
+
+#endif
--- /dev/null
+++ b/lib/relay/relay_state.cpp
@@ -0,0 +1,172 @@
+#include "relay_state.h"
+
+#include "relayed_query.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace peridotwheel {
+
+namespace {
+
+/// As for the engine's own attempts: extra load stays below 5%.
+constexpr double hedgeFraction = 0.03;
+constexpr double hedgeBurst = 10;
+constexpr double retryFraction = 0.1;
+constexpr double retryBurst = 100;
+/// The connections of the fleet are shared, and the owners' queues order the work by rank. A lower
+/// limit refuses ordinary bursts of arrivals although the fleet is idle.
+constexpr std::uint32_t leastConcurrency = 4;
+
+} // namespace
+
+relay_counters::relay_counters(counter_set &set)
+    : queries(set.at("relay.queries"))
+    , messages(set.at("relay.messages"))
+    , localParts(set.at("relay.local-parts"))
+    , hedges(set.at("relay.hedges"))
+    , retries(set.at("relay.retries"))
+    , notOwned(set.at("relay.not-owner"))
+    , cancels(set.at("relay.cancels"))
+    , dropped(set.at("relay.results-dropped"))
+    , denied(set.at("relay.budget-denied"))
+    , failures(set.at("relay.failures"))
+    , restarts(set.at("relay.restarts"))
+{
+}
+
+relay_state::relay_state(event_loop &l, const blackboard &b, query_executor &engine,
+                         http_client &client, relay_hooks hooks, counter_set &counters,
+                         event_sink sink, std::uint64_t seed, instance_id id, start_id run,
+                         data_centre_id dc)
+    : loop(l)
+    , board(b)
+    , local(engine)
+    , http(client)
+    , directory(b, std::move(hooks))
+    , count(counters)
+    , events(std::move(sink))
+    , random(seed)
+    , self(std::move(id))
+    , start(run)
+    , dataCentre(std::move(dc))
+    , hedges(hedgeFraction, hedgeBurst, l.now())
+    , retries(retryFraction, retryBurst, l.now())
+{
+    m_onMembers = board.members.subscribe([this](const auto &) { updatePeers(); });
+    updatePeers();
+}
+
+relay_state::~relay_state()
+{
+    for (const auto &query : active)
+        query->drop();
+}
+
+void relay_state::updatePeers()
+{
+    const member_map &members = board.members.value();
+    std::vector<relay_peer_ptr> gone;
+    bool changed = false;
+    for (const auto &[id, m] : members) {
+        if (id == self)
+            continue;
+        auto &peer = m_peers[id];
+        if (!peer) {
+            peer = std::make_shared<relay_peer>();
+            changed = true;
+        }
+        const bool wasLive = peer->live;
+        peer->id = id;
+        peer->address = m.peers;
+        peer->sameDataCentre = m.dataCentre == dataCentre;
+        peer->live = m.state != member_state::Dead;
+        peer->doubtful = m.state != member_state::Alive;
+        if (wasLive && !peer->live)
+            gone.push_back(peer);
+    }
+    for (auto it = m_peers.begin(); it != m_peers.end();) {
+        if (members.count(it->first) > 0) {
+            ++it;
+            continue;
+        }
+        if (it->second->live)
+            gone.push_back(it->second);
+        it->second->live = false;
+        it = m_peers.erase(it);
+        changed = true;
+    }
+    if (changed) {
+        m_plans.clear();
+        m_plainPlans.clear();
+    }
+    if (gone.empty())
+        return;
+    const auto running = active;
+    for (const auto &query : running) {
+        for (const auto &peer : gone)
+            query->onPeerGone(*peer);
+    }
+}
+
+void relay_state::refresh()
+{
+    if (!directory.refresh())
+        return;
+    m_plans.clear();
+    m_plainPlans.clear();
+    updateConcurrency();
+}
+
+void relay_state::updateConcurrency()
+{
+    std::map<service_name, std::uint64_t> connections;
+    for (const auto &[id, record] : board.servers.value()) {
+        if (!record.leaving)
+            connections[record.service] += record.connectionLimit;
+    }
+    std::uint64_t least = std::numeric_limits<std::uint32_t>::max();
+    for (const auto &entry : connections)
+        least = std::min(least, entry.second);
+    const std::uint64_t instances = m_peers.size() + 1;
+    concurrency = std::max(leastConcurrency, static_cast<std::uint32_t>(least / instances));
+}
+
+relay_plan_ptr relay_state::planOf(const shard_map_ptr &map)
+{
+    relay_plan_ptr &plan = m_plans[map->version];
+    if (plan && plan->map == map)
+        return plan;
+    plan = makeRelayPlan(map, directory, m_peers);
+    // A query that restarts on a newer version is the last to use the one before.
+    while (m_plans.size() > 2 && m_plans.begin()->first != map->version)
+        m_plans.erase(m_plans.begin());
+    return m_plans[map->version];
+}
+
+relay_plan_ptr relay_state::plainPlanOf(const service_name &name)
+{
+    const auto it = m_plainPlans.find(name);
+    if (it != m_plainPlans.end())
+        return it->second;
+    auto plan = makePlainRelayPlan(name, board.servers.value(), directory, m_peers);
+    // Unknown names come from callers and must not fill the memory.
+    const relay_group &group = plan->groups.front();
+    if (!group.ownServers.empty() || !group.owners.empty())
+        m_plainPlans[name] = plan;
+    return plan;
+}
+
+void relay_state::report(event_kind kind, const query_request &request, std::string text) const
+{
+    if (!events)
+        return;
+    timeline_event event;
+    event.kind = kind;
+    event.request = request.id;
+    event.className = request.spec.name;
+    event.text = std::move(text);
+    events(std::move(event));
+}
+
+} // namespace peridotwheel
--- /dev/null
+++ b/lib/relay/relay_state.h
@@ -0,0 +1,89 @@
+#ifndef PERIDOTWHEEL_LIB_RELAY_RELAY_STATE_H
+#define PERIDOTWHEEL_LIB_RELAY_RELAY_STATE_H
+
+#include "peridotwheel/counters/counter_set.h"
+#include "peridotwheel/http/http_client.h"
+#include "peridotwheel/limits/retry_budget.h"
+#include "peridotwheel/query/query_executor.h"
+#include "peridotwheel/routing/latency_distribution.h"
+#include "peridotwheel/support/event_loop.h"
+#include "peridotwheel/support/random_source.h"
+#include "peridotwheel/timeline/timeline_event.h"
+#include "relay_plan.h"
+
+#include <map>
+#include <unordered_set>
+
+namespace peridotwheel {
+
+class relayed_query;
+
+/// Counters of the origin's side, looked up once.
+struct relay_counters
+{
+    explicit relay_counters(counter_set &set);
+
+    counter &queries;
+    counter &messages;
+    counter &localParts;
+    counter &hedges;
+    counter &retries;
+    counter &notOwned;
+    counter &cancels;
+    counter &dropped;
+    counter &denied;
+    counter &failures;
+    counter &restarts;
+};
+
+/// What all split queries of one instance share.
+struct relay_state
+{
+    relay_state(event_loop &l, const blackboard &b, query_executor &engine, http_client &client,
+                relay_hooks hooks, counter_set &counters, event_sink sink, std::uint64_t seed,
+                instance_id id, start_id run, data_centre_id dc);
+    relay_state(const relay_state &) = delete;
+    relay_state &operator=(const relay_state &) = delete;
+    ~relay_state();
+
+    relay_plan_ptr planOf(const shard_map_ptr &map);
+    relay_plan_ptr plainPlanOf(const service_name &name);
+    /// Follows changed shares and owners.
+    void refresh();
+    void report(event_kind kind, const query_request &request, std::string text) const;
+
+    event_loop &loop;
+    const blackboard &board;
+    query_executor &local;
+    http_client &http;
+    connection_directory directory;
+    relay_counters count;
+    event_sink events;
+    random_source random;
+    instance_id self;
+    start_id start;
+    data_centre_id dataCentre;
+    /// Extra parts in units of groups of shards, since each costs about one server request.
+    retry_budget hedges;
+    retry_budget retries;
+    /// Of parts that were not hedged, from sending to their answer.
+    latency_distribution partLatency;
+    latency_distribution queryLatency;
+    std::unordered_set<std::shared_ptr<relayed_query>> active;
+    std::uint64_t nextPart = 1;
+    std::uint64_t nextDispatch = 1;
+    std::uint32_t concurrency = 1;
+
+private:
+    void updatePeers();
+    void updateConcurrency();
+
+    relay_peers m_peers;
+    std::map<index_version, relay_plan_ptr> m_plans;
+    std::map<service_name, relay_plan_ptr> m_plainPlans;
+    subscription m_onMembers;
+};
+
+} // namespace peridotwheel
+
+#endif
--- /dev/null
+++ b/lib/relay/relayed_query.cpp
@@ -0,0 +1,253 @@
+#include "relayed_query.h"
+
+#include "peridotwheel/query/query_engine.h"
+#include "relay_state.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace peridotwheel {
+
+namespace {
+
+/// As the engine's own: answers leave this long before the deadline, and queries with little time
+/// left keep most of it.
+constexpr duration answerMargin = milliseconds(5);
+constexpr int marginShare = 10;
+
+} // namespace
+
+relayed_query::relayed_query(relay_state &state, query_request request, answer_hook done)
+    : m_state(state)
+    , m_request(std::move(request))
+    , m_done(std::move(done))
+    , m_startedAt(state.loop.now())
+{
+    const duration left = std::max(m_request.deadline - m_startedAt, duration::zero());
+    m_finishAt = m_request.deadline - std::min(answerMargin, left / marginShare);
+}
+
+bool relayed_query::pin()
+{
+    const shard_map_ptr map = m_state.board.snapshots.value().current;
+    const relay_plan_ptr sharded = map ? m_state.planOf(map) : nullptr;
+    if (sharded) {
+        m_version = map->version;
+        m_plans.push_back(sharded);
+    }
+    if (m_startedAt >= m_finishAt || m_request.pinnedVersion || !m_request.shards.empty())
+        return false;
+    if (!m_request.services.empty())
+        return pinServices(sharded.get());
+    if (!sharded)
+        return false;
+    m_groups.reserve(sharded->groups.size());
+    for (const auto &group : sharded->groups)
+        addGroup(group, group.shards);
+    m_merge.emplace(m_version, sharded->shards);
+    return true;
+}
+
+bool relayed_query::pinServices(const relay_plan *sharded)
+{
+    std::vector<service_name> names = m_request.services;
+    std::sort(names.begin(), names.end());
+    if (std::adjacent_find(names.begin(), names.end()) != names.end())
+        return false;
+    std::vector<shard_id> asked;
+    std::uint32_t nextPlain = firstPlainShard;
+    for (const auto &name : m_request.services) {
+        const std::size_t before = m_groups.size();
+        for (std::size_t i = 0; sharded != nullptr && i < sharded->groups.size(); ++i) {
+            const relay_group &group = sharded->groups[i];
+            if (group.service != name)
+                continue;
+            asked.insert(asked.end(), group.shards.begin(), group.shards.end());
+            addGroup(group, group.shards);
+        }
+        if (m_groups.size() > before)
+            continue;
+        const auto plain = m_state.plainPlanOf(name);
+        const relay_group &group = plain->groups.front();
+        if (group.ownServers.empty() && group.owners.empty())
+            return false;
+        m_plans.push_back(plain);
+        asked.emplace_back(nextPlain);
+        addGroup(group, {shard_id(nextPlain++)});
+    }
+    std::sort(asked.begin(), asked.end());
+    if (nextPlain - firstPlainShard == m_groups.size())
+        m_version.reset();
+    m_merge.emplace(m_version, std::move(asked));
+    return true;
+}
+
+void relayed_query::addGroup(const relay_group &group, std::vector<shard_id> shards)
+{
+    group_state g;
+    g.group = &group;
+    g.shards = std::move(shards);
+    m_groups.push_back(std::move(g));
+}
+
+void relayed_query::start()
+{
+    m_inRun = true;
+    m_state.count.queries.add();
+    group_list all(m_groups.size());
+    for (std::size_t i = 0; i < all.size(); ++i)
+        all[i] = i;
+    dispatch(all, part_kind::First);
+    checkEnd();
+    m_inRun = false;
+}
+
+void relayed_query::drop()
+{
+    m_over = true;
+    m_timer.cancel();
+    m_open.clear();
+}
+
+void relayed_query::checkEnd()
+{
+    if (m_over)
+        return;
+    const bool late = m_state.loop.now() >= m_finishAt;
+    const bool open = std::any_of(m_groups.begin(), m_groups.end(), [](const group_state &g) {
+        return !g.done && (g.outstanding > 0 || g.retryAt);
+    });
+    if (late || m_merge->complete() || !open) {
+        finish(late);
+        return;
+    }
+    armTimer();
+}
+
+void relayed_query::armTimer()
+{
+    time_point next = m_finishAt;
+    for (const group_state &g : m_groups) {
+        if (g.done)
+            continue;
+        if (g.hedgeAt)
+            next = std::min(next, *g.hedgeAt);
+        if (g.retryAt)
+            next = std::min(next, *g.retryAt);
+    }
+    // A timer that fires early only looks again, so it is moved forward but not back.
+    if (m_armedFor && *m_armedFor <= next)
+        return;
+    m_armedFor = next;
+    m_timer = m_state.loop.schedule(next - m_state.loop.now(), [this] { onTimer(); });
+}
+
+void relayed_query::onTimer()
+{
+    const auto self = shared_from_this();
+    m_armedFor.reset();
+    const time_point now = m_state.loop.now();
+    if (now >= m_finishAt) {
+        finish(true);
+        return;
+    }
+    sendDueHedges(now);
+    group_list due;
+    for (std::size_t i = 0; i < m_groups.size(); ++i) {
+        group_state &g = m_groups[i];
+        if (g.done || !g.retryAt || now < *g.retryAt)
+            continue;
+        g.retryAt.reset();
+        if (g.outstanding == 0)
+            due.push_back(i);
+    }
+    retry(due);
+    checkEnd();
+}
+
+void relayed_query::finish(bool atDeadline)
+{
+    const auto self = shared_from_this();
+    query_answer answer = makeAnswer(atDeadline);
+    m_state.queryLatency.add(m_state.loop.now() - m_startedAt);
+    m_over = true;
+    m_timer.cancel();
+    const auto open = std::move(m_open);
+    m_open.clear();
+    for (const auto &p : open)
+        cancel(*p);
+    m_state.active.erase(self);
+    if (!m_inRun) {
+        m_done(std::move(answer));
+        return;
+    }
+    m_state.loop.post(
+            [self, answer = std::move(answer)]() mutable { self->m_done(std::move(answer)); });
+}
+
+query_answer relayed_query::makeAnswer(bool atDeadline)
+{
+    query_answer answer;
+    answer.version = m_version.value_or(index_version());
+    answer.covered = m_merge->covered();
+    if (m_request.repeatable) {
+        judgeRepeatable(answer, atDeadline);
+    } else {
+        judgeNonRepeatable(answer, atDeadline);
+    }
+    answer.results = m_merge->takeResults();
+    m_state.report(event_kind::Answer, m_request,
+                   "merged answered=" + std::to_string(answer.covered.answered) + "/" +
+                           std::to_string(answer.covered.total));
+    return answer;
+}
+
+void relayed_query::judgeRepeatable(query_answer &answer, bool atDeadline) const
+{
+    answer.ran = ran_state::No;
+    if (m_anySent)
+        answer.ran = ran_state::Unknown;
+    if (m_ranSomewhere)
+        answer.ran = ran_state::Yes;
+    if (answer.covered.missing.empty()) {
+        answer.kind = answer_kind::Complete;
+        return;
+    }
+    answer.detail = atDeadline ? "some shards did not answer before the deadline"
+                               : "no server could answer some shards";
+    if (answer.covered.answered > 0 && answer.covered.share() >= m_request.spec.coverageTarget) {
+        answer.kind = answer_kind::Partial;
+        return;
+    }
+    answer.kind = atDeadline ? answer_kind::Expired : answer_kind::Failed;
+}
+
+void relayed_query::judgeNonRepeatable(query_answer &answer, bool atDeadline) const
+{
+    if (answer.covered.missing.empty()) {
+        answer.kind = answer_kind::Complete;
+        answer.ran = ran_state::Yes;
+        return;
+    }
+    const bool lost = std::any_of(m_groups.begin(), m_groups.end(), [](const group_state &g) {
+        return g.unknown || (!g.done && g.outstanding > 0);
+    });
+    if (lost) {
+        answer.kind = answer_kind::OutcomeUnknown;
+        answer.ran = ran_state::Unknown;
+        answer.detail = "the request was sent and may have run, but no full reply came; it will "
+                        "not be sent again";
+        return;
+    }
+    if (m_ranSomewhere) {
+        answer.kind = answer_kind::Partial;
+        answer.ran = ran_state::Yes;
+        answer.detail = "the request ran on some shards only; the others did not run it";
+        return;
+    }
+    answer.kind = atDeadline ? answer_kind::Expired : answer_kind::Failed;
+    answer.ran = ran_state::No;
+    answer.detail = "no server accepted the request; it did not run and will not run later";
+}
+
+} // namespace peridotwheel
--- /dev/null
+++ b/lib/relay/relayed_query.h
@@ -0,0 +1,136 @@
+#ifndef PERIDOTWHEEL_LIB_RELAY_RELAYED_QUERY_H
+#define PERIDOTWHEEL_LIB_RELAY_RELAYED_QUERY_H
+
+#include "peridotwheel/http/http_connection.h"
+#include "peridotwheel/query/query.h"
+#include "peridotwheel/relay/relay_message.h"
+#include "peridotwheel/support/event_loop.h"
+#include "relay_merge.h"
+#include "relay_plan.h"
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace peridotwheel {
+
+struct relay_state;
+
+/// One query that is split over this instance and the owners of connections, from the split to the
+/// merged answer.
+class relayed_query : public std::enable_shared_from_this<relayed_query>
+{
+public:
+    relayed_query(relay_state &state, query_request request, answer_hook done);
+
+    /// Pins the shard map; false if the query cannot be split and the local engine should refuse
+    /// it.
+    bool pin();
+    /// Give back what a query that could not be pinned was made from.
+    query_request takeRequest() { return std::move(m_request); }
+    answer_hook takeHook() { return std::move(m_done); }
+    void start();
+    /// Ends without an answer; for the destruction of the executor.
+    void drop();
+    void onPeerGone(const relay_peer &peer);
+
+private:
+    enum class part_kind { First, Hedge, Retry };
+    enum class failure_cause { NotRun, MayHaveRun };
+
+    struct part
+    {
+        std::uint64_t id = 0;
+        relay_peer_ptr peer; ///< Null: the local engine.
+        part_kind kind = part_kind::First;
+        std::vector<std::size_t> groups;
+        std::vector<shard_id> shards; ///< Ascending, with the numbers of plain services.
+        std::vector<shard_id> plain;  ///< Numbers of the plain services, in the order sent.
+        time_point sentAt{};
+        std::shared_ptr<query_cancellation> cancellation;
+    };
+    using part_ptr = std::shared_ptr<part>;
+
+    /// The progress of one group of shards.
+    struct group_state
+    {
+        const relay_group *group = nullptr;
+        std::vector<shard_id> shards;
+        std::vector<const relay_peer *> tried; ///< Null stands for the local engine.
+        unsigned outstanding = 0;
+        unsigned rounds = 0;
+        bool done = false;
+        /// May have run and must not be sent again.
+        bool unknown = false;
+        bool mayHaveRun = false;
+        std::optional<time_point> hedgeAt;
+        std::optional<time_point> retryAt;
+    };
+    using group_list = std::vector<std::size_t>;
+
+    struct target
+    {
+        relay_peer_ptr peer; ///< Null: the local engine.
+    };
+
+    bool pinServices(const relay_plan *sharded);
+    void addGroup(const relay_group &group, std::vector<shard_id> shards);
+    std::optional<target> chooseTarget(const group_state &g, std::uint64_t dispatch,
+                                       const std::vector<part_ptr> &started);
+    bool triedBefore(const group_state &g, const relay_peer *peer) const;
+    bool locallyUsable(const group_state &g) const;
+    bool hasAlternative(const group_state &g) const;
+    void dispatch(const group_list &groups, part_kind kind);
+    void planHedge(group_state &g);
+    query_request partRequest(part &p) const;
+    void send(const part_ptr &p);
+    void sendLocally(const part_ptr &p, query_request request);
+
+    void onRemoteOutcome(const part_ptr &p, const http_outcome &outcome);
+    void onAnswer(const part_ptr &p, relay_answer answer);
+    /// Whether the owner named all shards of the group as not owned.
+    static bool disowned(const part &p, const group_state &g,
+                         const std::vector<shard_id> &notOwned);
+    void onPartFailure(const part_ptr &p, failure_cause cause);
+    /// Removes the part from the open ones; false if it was not open any more.
+    bool close(const part_ptr &p);
+    /// Whether the group needs another try.
+    bool failGroup(group_state &g, failure_cause cause);
+    void retry(const group_list &groups);
+    void pause(group_state &g);
+    bool mayRestart() const;
+    void restart();
+    void cancelNeedless();
+    void cancel(const part &p);
+
+    void onTimer();
+    void sendDueHedges(time_point now);
+    void armTimer();
+    void checkEnd();
+    void finish(bool atDeadline);
+    query_answer makeAnswer(bool atDeadline);
+    void judgeRepeatable(query_answer &answer, bool atDeadline) const;
+    void judgeNonRepeatable(query_answer &answer, bool atDeadline) const;
+
+    relay_state &m_state;
+    query_request m_request;
+    answer_hook m_done;
+    time_point m_startedAt;
+    time_point m_finishAt;
+    std::optional<index_version> m_version;
+    std::vector<relay_plan_ptr> m_plans;
+    std::vector<group_state> m_groups;
+    std::vector<part_ptr> m_open;
+    std::optional<relay_merge> m_merge;
+    timer m_timer;
+    std::optional<time_point> m_armedFor;
+    bool m_inRun = false;
+    bool m_over = false;
+    bool m_restarted = false;
+    bool m_anySent = false;
+    bool m_ranSomewhere = false;
+};
+
+} // namespace peridotwheel
+
+#endif
--- /dev/null
+++ b/lib/relay/relayed_query_parts.cpp
@@ -0,0 +1,228 @@
+#include "peridotwheel/query/query_engine.h"
+#include "relay_state.h"
+#include "relayed_query.h"
+
+#include <algorithm>
+
+namespace peridotwheel {
+
+namespace {
+
+/// When no owner is left to try, the group pauses for this long, doubled each time and with jitter,
+/// and may then use all owners again: views that differ converge meanwhile.
+constexpr duration firstPause = milliseconds(10);
+constexpr unsigned maxPauses = 3;
+/// An owner that broke a connection or could not be reached is avoided for this long.
+constexpr duration avoidFor = seconds(1);
+
+} // namespace
+
+bool relayed_query::close(const part_ptr &p)
+{
+    const auto it = std::find(m_open.begin(), m_open.end(), p);
+    if (m_over || it == m_open.end())
+        return false;
+    m_open.erase(it);
+    for (const std::size_t i : p->groups)
+        --m_groups[i].outstanding;
+    return true;
+}
+
+void relayed_query::onRemoteOutcome(const part_ptr &p, const http_outcome &outcome)
+{
+    const auto self = shared_from_this();
+    const time_point now = m_state.loop.now();
+    if (!outcome.ok()) {
+        p->peer->avoidUntil = now + avoidFor;
+        m_state.count.failures.add();
+        const bool notSent = outcome.failure == transport_failure::NotSent;
+        return onPartFailure(p, notSent ? failure_cause::NotRun : failure_cause::MayHaveRun);
+    }
+    const int status = outcome.reply.status;
+    if (status != 200) {
+        m_state.count.failures.add();
+        // These are answered before anything is looked at.
+        const bool notRun = status == 400 || status == 404 || status == 405;
+        return onPartFailure(p, notRun ? failure_cause::NotRun : failure_cause::MayHaveRun);
+    }
+    auto answer = decodeRelayAnswer(outcome.reply.body);
+    if (!answer || answer.value().id != p->id) {
+        m_state.count.failures.add();
+        return onPartFailure(p, failure_cause::MayHaveRun);
+    }
+    p->peer->avoidUntil = now;
+    onAnswer(p, std::move(answer.value()));
+}
+
+bool relayed_query::disowned(const part &p, const group_state &g,
+                             const std::vector<shard_id> &notOwned)
+{
+    const auto sentAs = [&p](shard_id shard) {
+        const auto it = std::find(p.plain.begin(), p.plain.end(), shard);
+        if (it == p.plain.end())
+            return shard;
+        return shard_id(firstPlainShard + static_cast<std::uint32_t>(it - p.plain.begin()));
+    };
+    return std::all_of(g.shards.begin(), g.shards.end(), [&](shard_id shard) {
+        return std::binary_search(notOwned.begin(), notOwned.end(), sentAs(shard));
+    });
+}
+
+void relayed_query::onAnswer(const part_ptr &p, relay_answer answer)
+{
+    const auto self = shared_from_this();
+    if (!close(p))
+        return;
+    query_answer &a = answer.answer;
+    const bool someRan = !a.results.empty() || a.ran == ran_state::Yes;
+    m_anySent = m_anySent || someRan || a.ran == ran_state::Unknown;
+    m_ranSomewhere = m_ranSomewhere || someRan;
+    m_state.count.notOwned.add(answer.notOwned.size());
+    if (someRan && p->kind == part_kind::First)
+        m_state.partLatency.add(m_state.loop.now() - p->sentAt);
+    // The owner numbers the plain services of its part from the start.
+    for (auto &r : a.results) {
+        if (r.shard.value() < firstPlainShard)
+            continue;
+        const std::size_t index = r.shard.value() - firstPlainShard;
+        r.shard = index < p->plain.size() ? p->plain[index] : shard_id(~0U);
+    }
+    m_state.count.dropped.add(m_merge->offer(p->shards, a.version, std::move(a.results)));
+    if (a.versionLost && mayRestart())
+        return restart();
+    // Of a request that is not repeatable and ran in part, the owner knows that the rest did not.
+    const bool restNotRun =
+            a.ran == ran_state::No || (!m_request.repeatable && a.kind == answer_kind::Partial);
+    group_list again;
+    for (const std::size_t i : p->groups) {
+        group_state &g = m_groups[i];
+        const auto has = [this](shard_id shard) { return m_merge->has(shard); };
+        g.done = g.done || std::all_of(g.shards.begin(), g.shards.end(), has);
+        const bool notRun = restNotRun || disowned(*p, g, answer.notOwned);
+        if (failGroup(g, notRun ? failure_cause::NotRun : failure_cause::MayHaveRun))
+            again.push_back(i);
+    }
+    retry(again);
+    cancelNeedless();
+    checkEnd();
+}
+
+void relayed_query::onPartFailure(const part_ptr &p, failure_cause cause)
+{
+    const auto self = shared_from_this();
+    if (!close(p))
+        return;
+    m_anySent = m_anySent || cause == failure_cause::MayHaveRun;
+    group_list again;
+    for (const std::size_t i : p->groups) {
+        if (failGroup(m_groups[i], cause))
+            again.push_back(i);
+    }
+    retry(again);
+    checkEnd();
+}
+
+void relayed_query::onPeerGone(const relay_peer &peer)
+{
+    const auto self = shared_from_this();
+    const auto open = m_open;
+    for (const auto &p : open) {
+        if (p->peer.get() == &peer)
+            onPartFailure(p, failure_cause::MayHaveRun);
+    }
+}
+
+bool relayed_query::failGroup(group_state &g, failure_cause cause)
+{
+    if (g.done)
+        return false;
+    if (cause == failure_cause::MayHaveRun) {
+        g.mayHaveRun = true;
+        g.unknown = !m_request.repeatable;
+    }
+    return !g.unknown && g.outstanding == 0 && !g.retryAt;
+}
+
+void relayed_query::retry(const group_list &groups)
+{
+    const time_point now = m_state.loop.now();
+    if (now >= m_finishAt)
+        return;
+    group_list notRun;
+    group_list again;
+    for (const std::size_t i : groups) {
+        group_state &g = m_groups[i];
+        const bool untried = hasAlternative(g);
+        // What did not run cost the servers nothing.
+        if (untried && !g.mayHaveRun) {
+            notRun.push_back(i);
+        } else if (untried && m_state.retries.take(now)) {
+            again.push_back(i);
+        } else {
+            m_state.count.denied.add(untried ? 1 : 0);
+            pause(g);
+        }
+    }
+    if (!notRun.empty())
+        dispatch(notRun, part_kind::Retry);
+    if (!again.empty())
+        dispatch(again, part_kind::Retry);
+}
+
+void relayed_query::pause(group_state &g)
+{
+    if (g.rounds >= maxPauses)
+        return;
+    g.tried.clear();
+    const double jitter = 1 + m_state.random.fraction();
+    const duration length = firstPause * (1U << g.rounds++);
+    g.retryAt = m_state.loop.now() + fromMilliseconds(toMilliseconds(length) * jitter);
+}
+
+bool relayed_query::mayRestart() const
+{
+    const shard_map_ptr &current = m_state.board.snapshots.value().current;
+    return m_request.repeatable && !m_restarted && m_version && current &&
+           current->version > *m_version;
+}
+
+void relayed_query::restart()
+{
+    m_restarted = true;
+    m_anySent = true;
+    m_state.count.restarts.add();
+    m_state.report(event_kind::Snapshot, m_request,
+                   "restart from version=" + std::to_string(m_version->value()));
+    const auto open = std::move(m_open);
+    m_open.clear();
+    for (const auto &p : open)
+        cancel(*p);
+    m_groups.clear();
+    m_plans.clear();
+    m_state.refresh();
+    if (!pin()) {
+        // The new version lacks a service of the query; nothing of the old one may be kept.
+        m_groups.clear();
+        m_merge.emplace(m_version, std::vector<shard_id>());
+        finish(false);
+        return;
+    }
+    group_list all(m_groups.size());
+    for (std::size_t i = 0; i < all.size(); ++i)
+        all[i] = i;
+    dispatch(all, part_kind::Retry);
+    checkEnd();
+}
+
+void relayed_query::cancelNeedless()
+{
+    const auto open = m_open;
+    for (const auto &p : open) {
+        const bool needed = std::any_of(p->groups.begin(), p->groups.end(),
+                                        [this](std::size_t i) { return !m_groups[i].done; });
+        if (!needed && close(p))
+            cancel(*p);
+    }
+}
+
+} // namespace peridotwheel
