--- a/lib/relay/relay_plan.cpp
+++ b/lib/relay/relay_plan.cpp
@@ -1,7 +1,7 @@
 #include "relay_plan.h"
 
 #include <algorithm>
-#include <set>
+#include <map>
 #include <utility>
 
 namespace peridotwheel {
@@ -12,30 +12,39 @@
 /// can try.
 constexpr std::size_t maxOwners = 64;
 
-void addServers(relay_group &group, const std::vector<server_id> &servers,
-                connection_directory &directory, const relay_peers &peers)
+void addServers(relay_group &group, const std::vector<server_id> &servers, const relay_view &view)
 {
-    std::set<instance_id> seen;
-    for (const auto &server : servers) {
-        if (directory.owns(server))
-            group.ownServers.push_back(server);
-        for (const auto &owner : directory.owners(server)) {
-            const auto peer = peers.find(owner);
-            if (peer != peers.end() && seen.insert(owner).second)
-                group.owners.push_back(peer->second);
+    std::map<instance_id, std::size_t> indexOf;
+    for (const auto &id : servers) {
+        const auto record = view.servers.find(id);
+        if (record == view.servers.end() || record->second.leaving)
+            continue;
+        const data_centre_id &at = record->second.dataCentre;
+        if (view.directory.owns(id)) {
+            group.ownServers.push_back(id);
+            group.ownNear |= at == view.dataCentre;
+        }
+        for (const auto &owner : view.directory.owners(id)) {
+            const auto peer = view.peers.find(owner);
+            if (peer == view.peers.end())
+                continue;
+            const auto [it, isNew] = indexOf.try_emplace(owner, group.owners.size());
+            if (isNew)
+                group.owners.push_back({peer->second, false});
+            group.owners[it->second].nearServer |= at == peer->second->dataCentre;
         }
     }
-    if (group.owners.size() <= maxOwners)
-        return;
-    std::stable_partition(group.owners.begin(), group.owners.end(),
-                          [](const auto &peer) { return peer->sameDataCentre; });
-    group.owners.resize(maxOwners);
+    const auto nearer = [](const relay_owner &a, const relay_owner &b) {
+        return a.distance() < b.distance();
+    };
+    std::stable_sort(group.owners.begin(), group.owners.end(), nearer);
+    if (group.owners.size() > maxOwners)
+        group.owners.resize(maxOwners);
 }
 
 } // namespace
 
-relay_plan_ptr makeRelayPlan(const shard_map_ptr &map, connection_directory &directory,
-                             const relay_peers &peers)
+relay_plan_ptr makeRelayPlan(const shard_map_ptr &map, const relay_view &view)
 {
     auto plan = std::make_shared<relay_plan>();
     plan->map = map;
@@ -44,25 +53,24 @@
         plan->shards.push_back(s.id);
         const auto [it, isNew] = groupOf.try_emplace({s.service, s.replicas}, plan->groups.size());
         if (isNew) {
-            plan->groups.push_back({s.service, {}, false, {}, {}});
-            addServers(plan->groups.back(), s.replicas, directory, peers);
+            plan->groups.push_back({s.service, {}, false, {}, false, {}});
+            addServers(plan->groups.back(), s.replicas, view);
         }
         plan->groups[it->second].shards.push_back(s.id);
     }
     return plan;
 }
 
-relay_plan_ptr makePlainRelayPlan(const service_name &name, const server_map &servers,
-                                  connection_directory &directory, const relay_peers &peers)
+relay_plan_ptr makePlainRelayPlan(const service_name &name, const relay_view &view)
 {
     auto plan = std::make_shared<relay_plan>();
-    plan->groups.push_back({name, {}, true, {}, {}});
+    plan->groups.push_back({name, {}, true, {}, false, {}});
     std::vector<server_id> known;
-    for (const auto &[id, record] : servers) {
-        if (!record.sharded && record.service == name && !record.leaving)
+    for (const auto &[id, record] : view.servers) {
+        if (!record.sharded && record.service == name)
             known.push_back(id);
     }
-    addServers(plan->groups.back(), known, directory, peers);
+    addServers(plan->groups.back(), known, view);
     return plan;
 }
 
--- a/lib/relay/relay_plan.h
+++ b/lib/relay/relay_plan.h
@@ -18,6 +18,7 @@
 {
     instance_id id;
     endpoint address;
+    data_centre_id dataCentre;
     bool sameDataCentre = false;
     /// Known and not dead.
     bool live = false;
@@ -28,16 +29,32 @@
     /// Scratch of the dispatch in progress: its number and the index of the part in it.
     std::uint64_t dispatchMark = 0;
     std::size_t partIndex = 0;
+};
+
+using relay_peer_ptr = std::shared_ptr<relay_peer>;
+using relay_peers = std::map<instance_id, relay_peer_ptr>;
 
-    /// Lower is better.
+/// An instance that owns a connection to a server of a group.
+struct relay_owner
+{
+    relay_peer_ptr peer;
+    /// One of its servers is in its own data centre.
+    bool nearServer = false;
+
+    /// Lower is better: first the calls between data centres on the way to the server, which also
+    /// keep its scarce connection busy, then those to the owner.
+    int distance() const
+    {
+        const int calls = (peer->sameDataCentre ? 0 : 1) + (nearServer ? 0 : 1);
+        return 2 * calls + (peer->sameDataCentre ? 0 : 1);
+    }
     int reluctance(time_point now) const
     {
-        return (sameDataCentre ? 0 : 1) + (doubtful || now < avoidUntil ? 2 : 0);
+        return distance() + (peer->doubtful || now < peer->avoidUntil ? farthest + 1 : 0);
     }
-};
 
-using relay_peer_ptr = std::shared_ptr<relay_peer>;
-using relay_peers = std::map<instance_id, relay_peer_ptr>;
+    static constexpr int farthest = 5;
+};
 
 /// Shards with the same servers, and who can reach these.
 struct relay_group
@@ -46,7 +63,9 @@
     std::vector<shard_id> shards; ///< Ascending; empty for a plain service.
     bool plain = false;
     std::vector<server_id> ownServers;
-    std::vector<relay_peer_ptr> owners;
+    /// One of `ownServers` is in the data centre of this instance.
+    bool ownNear = false;
+    std::vector<relay_owner> owners;
 };
 
 struct relay_plan
@@ -58,11 +77,18 @@
 
 using relay_plan_ptr = std::shared_ptr<const relay_plan>;
 
-relay_plan_ptr makeRelayPlan(const shard_map_ptr &map, connection_directory &directory,
-                             const relay_peers &peers);
+/// What plans are made from.
+struct relay_view
+{
+    const server_map &servers;
+    connection_directory &directory;
+    const relay_peers &peers;
+    const data_centre_id &dataCentre;
+};
+
+relay_plan_ptr makeRelayPlan(const shard_map_ptr &map, const relay_view &view);
 /// The plain service \p name as the only group; no servers and owners if it is unknown.
-relay_plan_ptr makePlainRelayPlan(const service_name &name, const server_map &servers,
-                                  connection_directory &directory, const relay_peers &peers);
+relay_plan_ptr makePlainRelayPlan(const service_name &name, const relay_view &view);
 
 } // namespace peridotwheel
 
--- a/lib/relay/relay_state.cpp
+++ b/lib/relay/relay_state.cpp
@@ -79,6 +79,7 @@
         const bool wasLive = peer->live;
         peer->id = id;
         peer->address = m.peers;
+        peer->dataCentre = m.dataCentre;
         peer->sameDataCentre = m.dataCentre == dataCentre;
         peer->live = m.state != member_state::Dead;
         peer->doubtful = m.state != member_state::Alive;
@@ -137,7 +138,7 @@
     relay_plan_ptr &plan = m_plans[map->version];
     if (plan && plan->map == map)
         return plan;
-    plan = makeRelayPlan(map, directory, m_peers);
+    plan = makeRelayPlan(map, view());
     // A query that restarts on a newer version is the last to use the one before.
     while (m_plans.size() > 2 && m_plans.begin()->first != map->version)
         m_plans.erase(m_plans.begin());
@@ -149,7 +150,7 @@
     const auto it = m_plainPlans.find(name);
     if (it != m_plainPlans.end())
         return it->second;
-    auto plan = makePlainRelayPlan(name, board.servers.value(), directory, m_peers);
+    auto plan = makePlainRelayPlan(name, view());
     // Unknown names come from callers and must not fill the memory.
     const relay_group &group = plan->groups.front();
     if (!group.ownServers.empty() || !group.owners.empty())
--- a/lib/relay/relay_state.h
+++ b/lib/relay/relay_state.h
@@ -10,6 +10,7 @@
 #include "peridotwheel/support/random_source.h"
 #include "peridotwheel/timeline/timeline_event.h"
 #include "relay_plan.h"
+#include "service_time.h"
 
 #include <map>
 #include <unordered_set>
@@ -68,13 +69,14 @@
     retry_budget retries;
     /// Of parts that were not hedged, from sending to their answer.
     latency_distribution partLatency;
-    latency_distribution queryLatency;
+    service_time queryTime;
     std::unordered_set<std::shared_ptr<relayed_query>> active;
     std::uint64_t nextPart = 1;
     std::uint64_t nextDispatch = 1;
     std::uint32_t concurrency = 1;
 
 private:
+    relay_view view() { return {board.servers.value(), directory, m_peers, dataCentre}; }
     void updatePeers();
     void updateConcurrency();
 
--- a/lib/relay/relayed_query.cpp
+++ b/lib/relay/relayed_query.cpp
@@ -169,7 +169,7 @@
 {
     const auto self = shared_from_this();
     query_answer answer = makeAnswer(atDeadline);
-    m_state.queryLatency.add(m_state.loop.now() - m_startedAt);
+    m_state.queryTime.add(m_state.loop.now() - m_startedAt);
     m_over = true;
     m_timer.cancel();
     const auto open = std::move(m_open);
--- a/lib/relay/relayed_query_dispatch.cpp
+++ b/lib/relay/relayed_query_dispatch.cpp
@@ -41,8 +41,9 @@
     if (!triedBefore(g, nullptr) && locallyUsable(g))
         return true;
     const auto &owners = g.group->owners;
-    return std::any_of(owners.begin(), owners.end(),
-                       [&](const auto &peer) { return peer->live && !triedBefore(g, peer.get()); });
+    return std::any_of(owners.begin(), owners.end(), [&](const relay_owner &o) {
+        return o.peer->live && !triedBefore(g, o.peer.get());
+    });
 }
 
 std::optional<relayed_query::target>
@@ -50,19 +51,21 @@
                             const std::vector<part_ptr> &started)
 {
     const bool mayUseLocal = !triedBefore(g, nullptr);
-    if (mayUseLocal && locallyUsable(g))
+    const bool localUsable = mayUseLocal && locallyUsable(g);
+    if (localUsable && g.group->ownNear)
         return target{};
     const time_point now = m_state.loop.now();
     relay_peer_ptr best;
     int bestReluctance = 0;
     std::size_t bestLoad = 0;
     std::uint64_t ties = 0;
-    for (const auto &peer : g.group->owners) {
+    for (const auto &owner : g.group->owners) {
+        const relay_peer_ptr &peer = owner.peer;
         if (!peer->live || triedBefore(g, peer.get()))
             continue;
-        const int reluctance = peer->reluctance(now);
-        // An owner that gets a part anyway saves a message; zero stands for none yet, and the
-        // least loaded of the chosen ones keeps the parts even.
+        const int reluctance = owner.reluctance(now);
+        // An owner that gets a part anyway saves a message; the least loaded of these keeps the
+        // parts even.
         const bool chosen = peer->dispatchMark == dispatch;
         const std::size_t load =
                 chosen ? started[peer->partIndex]->groups.size() : m_groups.size() + 1;
@@ -76,6 +79,9 @@
         bestReluctance = reluctance;
         bestLoad = load;
     }
+    // An owner next to its server leaves the scarce connections to remote servers free.
+    if (localUsable && (!best || bestReluctance > 0))
+        return target{};
     if (best)
         return target{best};
     // A connection to a suspect server is better than none.
--- a/lib/relay/relaying_executor.cpp
+++ b/lib/relay/relaying_executor.cpp
@@ -48,8 +48,8 @@
 
 duration relaying_executor::expectedServiceTime(duration direct) const
 {
-    const bool measured = m_state->queryLatency.samples() > 0;
-    return m_state->directory.ownsAll() || !measured ? direct : m_state->queryLatency.p90();
+    const auto estimate = m_state->queryTime.estimate();
+    return m_state->directory.ownsAll() || !estimate ? direct : *estimate;
 }
 
 } // namespace peridotwheel
