--- a/lib/query/engine_state.h
+++ b/lib/query/engine_state.h
@@ -83,6 +83,7 @@
     std::string attemptPrefix;
     std::uint64_t nextAttempt = 1;
     std::uint64_t nextScatter = 1;
+    std::uint64_t shareEpoch = 0;
     std::uint32_t concurrency = 1;
 
     /// Whether a connection is open to at least one server of every service.
