--- a/tools/peridot-bench/main.cpp
+++ b/tools/peridot-bench/main.cpp
@@ -1,5 +1,6 @@
 #include "peridotwheel/bench/experiment.h"
 #include "peridotwheel/bench/fleet_load.h"
+#include "peridotwheel/bench/slope.h"
 #include "peridotwheel/support/log.h"
 
 #include <cstdlib>
@@ -15,13 +16,17 @@
 
 Usage:
   peridot-bench --list
+  peridot-bench --list-slopes
   peridot-bench --experiment=NAME [--seed=N] [--json] [--log-level=LEVEL]
+  peridot-bench --slope=NAME [--seed=N] [--json] [--log-level=LEVEL]
   peridot-bench --load --callers=LIST --platform=ADDRESS [--rate=N] [--seconds=N] [--seed=N] [--json]
   peridot-bench (-h | --help)
 
 Options:
   --list             Print the names of the experiments.
   --experiment=NAME  Run one experiment: stand-ins, instances and load in this process.
+  --list-slopes      Print the names of the slopes.
+  --slope=NAME       Measure a cost at several sizes and fit a line, see docs/CAPACITY.md.
   --load             Send a mixed load to instances that run already.
   --callers=LIST     Their callers' addresses, as 127.0.1.1:8001,127.0.2.1:8001.
   --platform=ADDRESS Address of the platform, to find the instances' counters.
@@ -102,6 +107,30 @@
     return EXIT_SUCCESS;
 }
 
+int listSlopes()
+{
+    for (const auto &s : slopes())
+        std::cout << s.name << "\n";
+    return EXIT_SUCCESS;
+}
+
+int runSlope(const std::string &name, std::uint64_t seed, bool json)
+{
+    const slope *s = findSlope(name);
+    if (s == nullptr) {
+        std::cerr << "unknown slope '" << name << "'; --list-slopes prints the names\n";
+        return exitBadUse;
+    }
+    try {
+        const auto points = s->measure(seed);
+        std::cout << (json ? slopeJson(*s, seed, points) + "\n" : slopeText(*s, seed, points));
+        return EXIT_SUCCESS;
+    } catch (const std::exception &e) {
+        std::cerr << "slope " << name << " could not be measured: " << e.what() << "\n";
+        return exitBadUse;
+    }
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -120,6 +149,8 @@
     }
     if (args["--list"].asBool())
         return listExperiments();
+    if (args["--list-slopes"].asBool())
+        return listSlopes();
     if (auto configured = configureLogging(args["--log-level"].asString()); !configured) {
         std::cerr << configured.error().message << "\n";
         return exitBadUse;
@@ -132,6 +163,8 @@
             return exitBadUse;
         }
     }
+    if (args["--slope"])
+        return runSlope(args["--slope"].asString(), seed, args["--json"].asBool());
     const std::string name = args["--experiment"].asString();
     const experiment *e = findExperiment(name);
     if (e == nullptr) {
