--- a/lib/bench/slope_claims.cpp
+++ b/lib/bench/slope_claims.cpp
@@ -39,6 +39,7 @@
     double writes = 0;
     double reads = 0;
     double cpu = 0;
+    double stored = 0;
 };
 
 claim_cost costOfClaims(std::size_t count, std::uint64_t seed)
@@ -70,6 +71,7 @@
         throw std::runtime_error("not every request was answered as done");
     cost.writes = static_cast<double>(platform.writes());
     cost.reads = static_cast<double>(platform.reads());
+    cost.stored = static_cast<double>(platform.storedBytes());
     return cost;
 }
 
@@ -89,6 +91,7 @@
     list.push_back(over("claim-writes", "platform writes in all", &claim_cost::writes));
     list.push_back(over("claim-reads", "platform reads in all", &claim_cost::reads));
     list.push_back(over("claim-cpu", "microseconds in all", &claim_cost::cpu));
+    list.push_back(over("claim-bytes", "bytes stored at the platform", &claim_cost::stored));
 }
 
 } // namespace peridotwheel
--- a/lib/bench/slope_configuration.cpp
+++ b/lib/bench/slope_configuration.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 const std::vector<std::size_t> classCounts{3, 10, 30, 64};
-const std::vector<std::size_t> nodeCounts{20, 50, 100, 200};
+const std::vector<std::size_t> nodeCounts{50, 100, 200, 530};
 
 std::string documentWith(std::size_t classes)
 {
--- a/lib/bench/slope_fleet.cpp
+++ b/lib/bench/slope_fleet.cpp
@@ -35,6 +35,14 @@
     m_timers.push_back(m_loop.schedule(milliseconds(2 + m_random->below(11)), std::move(fn)));
 }
 
+std::size_t memory_platform::storedBytes() const
+{
+    std::size_t bytes = 0;
+    for (const auto &[key, object] : m_objects)
+        bytes += object.value.size();
+    return bytes;
+}
+
 void memory_platform::get(const object_key &key, hook<platform_object> done)
 {
     ++m_reads;
--- a/lib/bench/slope_fleet.h
+++ b/lib/bench/slope_fleet.h
@@ -32,6 +32,8 @@
 
     std::uint64_t reads() const { return m_reads; }
     std::uint64_t writes() const { return m_writes; }
+    /// Bytes of the stored values.
+    std::size_t storedBytes() const;
 
 private:
     void later(event_loop::task fn);
