--- a/lib/bench/slope_configuration.cpp
+++ b/lib/bench/slope_configuration.cpp
@@ -87,8 +87,8 @@
 }
 
 /// Milliseconds from the first adoption to the last in a data centre of \p count instances, each of
-/// which runs.
-double spreadTime(std::size_t count, std::uint64_t seed)
+/// which runs, except for \p gonePercent that left without notice right before.
+double spreadTime(std::size_t count, std::size_t gonePercent, std::uint64_t seed)
 {
     manual_loop loop;
     memory_network network(loop);
@@ -101,11 +101,16 @@
         nodes.back()->gossip.start();
     }
     loop.advance(seconds(1));
+    for (std::size_t gone = count * gonePercent / 100; gone > 0; --gone) {
+        network.nodes.erase(nodes.back()->membership.self().peers);
+        nodes.pop_back();
+    }
     double longest = 0;
     const std::string text = documentWith(30);
     for (std::uint64_t v = 1; v <= 10; ++v) {
         const time_point start = loop.now();
-        nodes[v % count]->configuration.offer(text, object_version(v), version_source::Platform);
+        nodes[v % nodes.size()]->configuration.offer(text, object_version(v),
+                                                     version_source::Platform);
         const auto adopted = [&](const auto &n) {
             return n->configuration.version() == object_version(v);
         };
@@ -172,8 +177,13 @@
                     [](auto seed) { return overDocuments(seed, &change_cost::bytes); }});
     list.push_back({"configuration-spread", "instances of a data centre",
                     "milliseconds to the last instance, longest of 10 changes", [](auto seed) {
-                        return pointsAt(nodeCounts, [=](auto n) { return spreadTime(n, seed); });
+                        return pointsAt(nodeCounts, [=](auto n) { return spreadTime(n, 0, seed); });
                     }});
+    list.push_back(
+            {"configuration-spread-gone", "percent of 200 instances gone without notice",
+             "milliseconds to the last instance, longest of 10 changes", [](auto seed) {
+                 return pointsAt({0, 10, 20, 30}, [=](auto n) { return spreadTime(200, n, seed); });
+             }});
     list.push_back(overBurst("burst-written", "changes written", &burst_result::written));
     list.push_back(overBurst("burst-time", "milliseconds to the last outcome",
                              &burst_result::milliseconds));
--- a/lib/bench/slope_fleet.cpp
+++ b/lib/bench/slope_fleet.cpp
@@ -92,27 +92,31 @@
     later([done = std::move(done), out] { done(out); });
 }
 
-void memory_network::send(const endpoint &to, const http_request &request, duration,
+void memory_network::after(duration delay, event_loop::task fn)
+{
+    const auto key = m_next++;
+    m_timers[key] = m_loop.schedule(delay, [this, key, fn = std::move(fn)] {
+        const timer own = std::move(m_timers[key]);
+        m_timers.erase(key);
+        fn();
+    });
+}
+
+void memory_network::send(const endpoint &to, const http_request &request, duration timeout,
                           outcome_hook done)
 {
     ++messages;
     bytesSent += wireBytes(request);
-    const auto finish = [this, done = std::move(done)](const http_reply &reply) {
+    const auto finish = [this, done](const http_reply &reply) {
         bytesReceived += wireBytes(reply);
-        const auto key = m_next++;
-        m_timers[key] = m_loop.schedule(networkDelay, [this, key, done, reply] {
-            const timer own = std::move(m_timers[key]);
-            m_timers.erase(key);
-            done({transport_failure::None, reply});
-        });
+        after(networkDelay, [done, reply] { done({transport_failure::None, reply}); });
     };
     const auto body = bodies.find(to);
     if (body != bodies.end())
         return finish({200, {}, body->second});
-    const auto key = m_next++;
-    m_timers[key] = m_loop.schedule(networkDelay, [this, key, to, request, finish] {
-        const timer own = std::move(m_timers[key]);
-        m_timers.erase(key);
+    if (nodes.count(to) == 0)
+        return after(timeout, [done] { done({transport_failure::MayHaveRun, {}}); });
+    after(networkDelay, [this, to, request, finish] {
         const auto node = nodes.find(to);
         if (node != nodes.end())
             node->second(request, std::make_shared<hook_responder>(finish));
--- a/lib/bench/slope_fleet.h
+++ b/lib/bench/slope_fleet.h
@@ -47,7 +47,8 @@
     std::uint64_t m_writes = 0;
 };
 
-/// Carries requests between nodes of one loop, or answers in place of peers that do not run.
+/// Carries requests between nodes of one loop, or answers in place of peers that do not run. Other
+/// requests time out.
 class memory_network : public http_client
 {
 public:
@@ -67,6 +68,8 @@
     std::uint64_t messages = 0;
 
 private:
+    void after(duration delay, event_loop::task fn);
+
     event_loop &m_loop;
     std::map<std::uint64_t, timer> m_timers;
     std::uint64_t m_next = 0;
