--- a/lib/bench/slope_measure.cpp
+++ b/lib/bench/slope_measure.cpp
@@ -35,6 +35,7 @@
                                   const std::function<double(std::size_t)> &measure)
 {
     std::vector<slope_point> out;
+    out.reserve(sizes.size());
     for (const std::size_t size : sizes)
         out.push_back({static_cast<double>(size), measure(size)});
     return out;
