Count slots by the busiest service and estimate service times by class

Queries that wait for one slow shard held a whole slot, and the p90 of all classes together (300 ms, from classes whose stragglers are not hedged) was taken as the time an urgent query needs.

Slots in use are now the most queries that wait for any one service, at constant cost. The time from start to answer is smoothed per class. Capacity is counted by the time of the answer: before, queries queued in one step and answered in the next counted for the first, and a capacity of 1273/s came out of servers that can do 1200/s.

One test simulated a late front by changing the service time of waiting requests, which is fixed at arrival now; it pauses the process instead.

--- a/include/peridotwheel/bench/class_tally.h
+++ b/include/peridotwheel/bench/class_tally.h
@@ -33,6 +33,8 @@
     std::uint64_t unknown = 0;
     double coverageSum = 0.0;
     latency_histogram latencies; ///< Of answered requests.
+    /// By the time of the answer: work that is queued in one bin and done in another must not count
+    /// as capacity of the first.
     std::vector<std::uint64_t> usefulByBin;
     std::vector<std::uint64_t> sentByBin;
 
--- a/include/peridotwheel/limits/admission_controller.h
+++ b/include/peridotwheel/limits/admission_controller.h
@@ -24,6 +24,12 @@
     /// Expected time from the start of a query to its answer. If empty, the time of earlier
     /// queries as measured here is used.
     std::function<duration()> expectedServiceTime;
+    /// Slots that are taken at present. A query that waits for its last few shards takes less than
+    /// one slot, so that the number of running queries would overstate the load. If empty or
+    /// without a value, running queries are counted.
+    std::function<std::optional<std::uint32_t>()> slotsInUse;
+    /// Mean time for which a query holds a slot.
+    std::function<duration()> slotTime;
 };
 
 /// Puts an `admission_queue` in front of another executor: limits the queries that run at once and
@@ -38,6 +44,8 @@
     ~admission_controller() override;
 
     void run(query_request request, answer_hook done) override;
+    /// Tells that `slotsInUse` has fallen.
+    void onSlotFree() { pump(); }
 
     /// Load of one class; its `retryAfter` is set for a second after a refusal.
     class_load loadOf(const class_name &name) const;
@@ -62,10 +70,17 @@
         std::uint32_t running = 0;
         time_point refusedAt{};
         duration retryAfter{};
+        /// Smoothed time from start to answer. Classes differ: what is hedged for an urgent class
+        /// may wait for a straggler in another.
+        duration serviceTime{};
     };
 
     void adoptClasses(const configuration_document &document);
     slot_state slots();
+    /// With the service time of one class.
+    slot_state slotsFor(const class_name &name);
+    std::uint32_t busySlots() const;
+    bool hasFreeSlot();
     void updateServiceTime();
     void updateRate(duration measured, double weight);
     void pump();
--- a/include/peridotwheel/limits/admission_queue.h
+++ b/include/peridotwheel/limits/admission_queue.h
@@ -22,7 +22,10 @@
     std::uint32_t running = 0;
     /// Queries that may run at once; at least 1.
     std::uint32_t limit = 1;
+    /// Time that the request offered needs from its start to its answer.
     duration serviceTime{};
+    /// Mean time for which a query holds a slot; `serviceTime` if zero.
+    duration slotTime{};
 };
 
 enum class refusal_reason {
@@ -90,12 +93,12 @@
                        const slot_state &slots, double jitter);
 
     /// Removes the next request to run. The caller has a free slot for it.
-    take_result take(time_point now, const slot_state &slots);
+    take_result take(time_point now);
 
     /// Removes requests whose remaining time is shorter than the service time.
-    std::vector<ticket> expire(time_point now, const slot_state &slots);
+    std::vector<ticket> expire(time_point now);
     /// When `expire` will next have something to do.
-    std::optional<time_point> nextExpiry(const slot_state &slots) const;
+    std::optional<time_point> nextExpiry() const;
 
     /// Advised delay for a refused caller of \p rank. It grows with the ratio of offered to served
     /// requests; \p jitter spreads it by half, so that callers do not return in step.
@@ -113,6 +116,7 @@
         time_point order;
         ticket id = 0;
         time_point deadline;
+        duration serviceTime{};
         /// Admitted against the estimate, to measure anew; runs while its deadline is ahead.
         bool probe = false;
 
@@ -157,7 +161,9 @@
                          const slot_state &slots, double jitter) const;
     double waitMicroseconds(const rank_state &r, std::size_t ahead, std::size_t ownAhead,
                             const slot_state &slots) const;
-    bool tooLate(const key &k, time_point now, const slot_state &slots) const;
+    bool tooLate(const key &k, time_point now) const;
+    /// Time after which the request is too late; orders `m_deadlines`.
+    time_point latestStart(const key &k) const;
     static key firstKey(class_rank rank);
     static key lastKey(class_rank rank);
 
--- a/include/peridotwheel/query/query_engine.h
+++ b/include/peridotwheel/query/query_engine.h
@@ -53,6 +53,13 @@
     std::uint32_t concurrencyLimit() const;
     /// Whether at least one server of every known service is connected.
     bool connected() const;
+    /// Slots in use, to compare with `concurrencyLimit`: the most queries that wait for any one
+    /// service. A query that waits for its last shards only does not fill a slot everywhere.
+    std::uint32_t slotsInUse() const;
+    /// Mean time for which a query waits for one service.
+    duration slotTime() const;
+    /// \p hook is called soon after `slotsInUse` has fallen.
+    void setSlotFreeHook(std::function<void()> hook);
     /// Recent p90 of the time from `run` to the answer.
     duration expectedServiceTime() const;
     /// No new work for this run of the server from now on.
--- a/include/peridotwheel/relay/relaying_executor.h
+++ b/include/peridotwheel/relay/relaying_executor.h
@@ -34,6 +34,8 @@
     std::uint32_t concurrencyLimit(std::uint32_t direct) const;
     /// Recent p90 of the time to the answer, given the engine's for direct queries.
     duration expectedServiceTime(duration direct) const;
+    /// Whether every server can be called directly, so that the engine's slots tell the load.
+    bool callsDirectly() const;
 
 private:
     bool direct();
--- a/lib/bench/class_tally.cpp
+++ b/lib/bench/class_tally.cpp
@@ -18,7 +18,6 @@
     const auto bin = static_cast<std::size_t>(sinceStart / binWidth);
     ++sent;
     addToBin(sentByBin, bin, 1);
-    addToBin(usefulByBin, bin, 0);
     refusedNotRun += reply.refusedNotRun ? 1 : 0;
     unknown += reply.unknown ? 1 : 0;
     coverageSum += reply.coverage;
@@ -30,7 +29,8 @@
     if (!inTime || reply.coverage < spec.coverageTarget)
         return;
     ++inTarget;
-    addToBin(usefulByBin, bin, 1);
+    const auto answeredBin = static_cast<std::size_t>((sinceStart + reply.latency) / binWidth);
+    addToBin(usefulByBin, answeredBin, 1);
 }
 
 void class_tally::merge(const class_tally &other)
--- a/lib/bench/experiment_runner.cpp
+++ b/lib/bench/experiment_runner.cpp
@@ -147,9 +147,8 @@
     out.classes = run.load.classes;
     out.extraLoad = run.extraLoad;
     out.violations = run.load.violations;
-    std::uint64_t useful = 0;
-    for (const auto &[name, tally] : out.classes)
-        useful += tally.inTarget;
+    const auto bins = static_cast<std::size_t>(run.length / class_tally::binWidth);
+    const std::uint64_t useful = usefulInBins(out.classes, 0, bins);
     out.usefulQps = static_cast<double>(useful) / out.seconds;
     return out;
 }
--- a/lib/entry/entry_instance.cpp
+++ b/lib/entry/entry_instance.cpp
@@ -152,7 +152,12 @@
     , relayedParts(loop, board, engine, relayHooks(engine), counters)
     , admission(loop, board, relay,
                 {[this] { return relay.concurrencyLimit(engine.concurrencyLimit()); },
-                 [this] { return relay.expectedServiceTime(engine.expectedServiceTime()); }},
+                 [this] { return relay.expectedServiceTime(engine.expectedServiceTime()); },
+                 [this] {
+                     const bool direct = relay.callsDirectly();
+                     return direct ? std::make_optional(engine.slotsInUse()) : std::nullopt;
+                 },
+                 [this] { return relay.callsDirectly() ? engine.slotTime() : duration(); }},
                 counters, events.sink(), o.seed + AdmissionSeed, o.admission)
     , claiming(loop, platform, admission, s.id, claimRandom, events.sink(), o.claims)
     , claimLookup(platform)
@@ -180,6 +185,7 @@
              [this] { callerServer.stopListening(); }},
             events.sink(), {o.drainGrace, s.shutdown})
 {
+    engine.setSlotFreeHook([this] { admission.onSlotFree(); });
     platform.setHealthHook([this](bool answered) { health.note(answered); });
 }
 
--- a/lib/limits/admission_controller.cpp
+++ b/lib/limits/admission_controller.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+/// Bounds the queries that run at once when most of them wait for single shards.
+constexpr std::uint32_t maxQueriesPerSlot = 16;
 /// Memory of the smoothed service time; jittered per instance, so that instances which see the same
 /// servers do not change their estimates in step.
 constexpr duration smoothingTime = milliseconds(200);
@@ -34,6 +36,11 @@
     return std::to_string(std::chrono::duration_cast<milliseconds>(d).count()) + " ms";
 }
 
+duration scaledBy(duration d, double factor)
+{
+    return duration(std::llround(static_cast<double>(d.count()) * factor));
+}
+
 } // namespace
 
 admission_controller::admission_controller(event_loop &loop, blackboard &board,
@@ -78,11 +85,34 @@
 slot_state admission_controller::slots()
 {
     updateServiceTime();
-    m_slots.running = m_running;
+    m_slots.running = busySlots();
     m_slots.limit = std::max<std::uint32_t>(m_hooks.concurrencyLimit(), 1);
+    if (m_hooks.slotTime)
+        m_slots.slotTime = m_hooks.slotTime();
     return m_slots;
 }
 
+slot_state admission_controller::slotsFor(const class_name &name)
+{
+    slot_state s = slots();
+    const auto it = m_classes.find(name);
+    if (it != m_classes.end() && it->second.serviceTime > duration())
+        s.serviceTime = it->second.serviceTime;
+    return s;
+}
+
+std::uint32_t admission_controller::busySlots() const
+{
+    const auto inUse = m_hooks.slotsInUse ? m_hooks.slotsInUse() : std::nullopt;
+    return inUse.value_or(m_running);
+}
+
+bool admission_controller::hasFreeSlot()
+{
+    const slot_state s = slots();
+    return s.running < s.limit && m_running < maxQueriesPerSlot * s.limit;
+}
+
 void admission_controller::updateServiceTime()
 {
     if (!m_hooks.expectedServiceTime)
@@ -97,15 +127,14 @@
 
 void admission_controller::updateRate(duration measured, double weight)
 {
-    const auto difference = static_cast<double>((measured - m_slots.serviceTime).count());
-    m_slots.serviceTime += duration(std::llround(difference * weight));
+    m_slots.serviceTime += scaledBy(measured - m_slots.serviceTime, weight);
 }
 
 void admission_controller::run(query_request request, answer_hook done)
 {
     const time_point now = m_loop.now();
-    const auto offered =
-            m_queue.offer(request.spec.rank, request.deadline, now, slots(), m_random.fraction());
+    const auto offered = m_queue.offer(request.spec.rank, request.deadline, now,
+                                       slotsFor(request.spec.name), m_random.fraction());
     if (offered.displaced) {
         m_displaced.add();
         auto victim = removeWaiting(*offered.displaced);
@@ -139,8 +168,8 @@
 
 void admission_controller::pump()
 {
-    for (slot_state s = slots(); m_running < s.limit; s = slots()) {
-        const auto taken = m_queue.take(m_loop.now(), s);
+    while (hasFreeSlot()) {
+        const auto taken = m_queue.take(m_loop.now());
         for (const ticket id : taken.refused) {
             m_refusedFront.add();
             auto late = removeWaiting(id);
@@ -175,7 +204,11 @@
                                   const answer_hook &done, query_answer answer)
 {
     --m_running;
-    --m_classes[name].running;
+    class_state &state = m_classes[name];
+    --state.running;
+    const duration taken = m_loop.now() - started;
+    const bool first = state.serviceTime == duration();
+    state.serviceTime += first ? taken : scaledBy(taken - state.serviceTime, measurementWeight);
     if (!m_hooks.expectedServiceTime)
         updateRate(m_loop.now() - started, measurementWeight);
     // The hook may destroy this controller, so it is called last.
@@ -207,7 +240,7 @@
 
 void admission_controller::expireLater()
 {
-    const auto at = m_queue.nextExpiry(m_slots);
+    const auto at = m_queue.nextExpiry();
     if (!at) {
         m_expiry.cancel();
         m_expiryAt.reset();
@@ -219,7 +252,7 @@
     m_expiryAt = at;
     m_expiry = m_loop.schedule(std::max<duration>(*at - m_loop.now(), minExpiryDelay), [this] {
         m_expiryAt.reset();
-        for (const ticket id : m_queue.expire(m_loop.now(), slots())) {
+        for (const ticket id : m_queue.expire(m_loop.now())) {
             m_refusedFront.add();
             auto late = removeWaiting(id);
             refuse(late.request, std::move(late.done), "too little time was left in the queue");
--- a/lib/limits/admission_queue.cpp
+++ b/lib/limits/admission_queue.cpp
@@ -101,7 +101,7 @@
 {
     rank_state &r = stateOf(k.rank);
     m_order.insert(k);
-    m_deadlines.emplace(std::make_pair(k.deadline, k.id), k);
+    m_deadlines.emplace(std::make_pair(latestStart(k), k.id), k);
     if (++r.queued == 1) {
         r.headSince = now;
         // Credit for an idle time is limited to one dispatch.
@@ -118,7 +118,7 @@
     assert(it != m_ranks.end() && "a rank is kept while it has queued requests");
     rank_state &r = it->second;
     m_order.erase(k);
-    m_deadlines.erase({k.deadline, k.id});
+    m_deadlines.erase({latestStart(k), k.id});
     if (--r.queued == 0)
         m_due.erase({r.dueAt, k.rank});
     updateQuota(k.rank, r);
@@ -152,6 +152,7 @@
     k.order = m_options.enabled ? deadline : time_point();
     k.id = m_nextTicket++;
     k.deadline = deadline;
+    k.serviceTime = slots.serviceTime;
 
     offer_result result;
     rank_state &r = stateOf(k.rank);
@@ -196,8 +197,9 @@
 {
     if (slots.running + ahead < slots.limit)
         return 0;
-    const double perDispatch = static_cast<double>(slots.serviceTime.count()) /
-                               std::max<std::uint32_t>(slots.limit, 1);
+    const duration slotTime = slots.slotTime > duration() ? slots.slotTime : slots.serviceTime;
+    const double perDispatch =
+            static_cast<double>(slotTime.count()) / std::max<std::uint32_t>(slots.limit, 1);
     const double position = static_cast<double>(ownAhead) + 1;
     const double strict = (static_cast<double>(ahead) + 1) * perDispatch;
     const double estimate = std::max(strict, r.headWait * position);
@@ -248,12 +250,12 @@
     r.served.add(now);
 }
 
-admission_queue::take_result admission_queue::take(time_point now, const slot_state &slots)
+admission_queue::take_result admission_queue::take(time_point now)
 {
     take_result result;
     while (!m_order.empty()) {
         const key k = *m_order.lower_bound(firstKey(nextRank()));
-        const bool late = tooLate(k, now, slots);
+        const bool late = tooLate(k, now);
         if (!late)
             recordDispatch(k.rank, now);
         erase(k);
@@ -266,20 +268,24 @@
     return result;
 }
 
-bool admission_queue::tooLate(const key &k, time_point now, const slot_state &slots) const
+time_point admission_queue::latestStart(const key &k) const
+{
+    return k.probe || !m_options.enabled ? k.deadline : k.deadline - k.serviceTime;
+}
+
+bool admission_queue::tooLate(const key &k, time_point now) const
 {
     if (k.probe || !m_options.enabled)
         return k.deadline <= now;
-    return k.deadline - now < slots.serviceTime;
+    return now > latestStart(k);
 }
 
-std::vector<admission_queue::ticket> admission_queue::expire(time_point now,
-                                                             const slot_state &slots)
+std::vector<admission_queue::ticket> admission_queue::expire(time_point now)
 {
     std::vector<ticket> out;
     while (!m_deadlines.empty()) {
         const key k = m_deadlines.begin()->second;
-        if (!tooLate(k, now, slots))
+        if (!tooLate(k, now))
             return out;
         erase(k);
         out.push_back(k.id);
@@ -287,7 +293,7 @@
     return out;
 }
 
-std::optional<time_point> admission_queue::nextExpiry(const slot_state &slots) const
+std::optional<time_point> admission_queue::nextExpiry() const
 {
     if (m_deadlines.empty())
         return std::nullopt;
@@ -295,7 +301,7 @@
     if (k.probe || !m_options.enabled)
         return k.deadline;
     // One microsecond later the remaining time is shorter than the service time.
-    return k.deadline - slots.serviceTime + duration(1);
+    return latestStart(k) + duration(1);
 }
 
 duration admission_queue::retryAfter(class_rank rank, time_point now, double jitter) const
--- a/lib/query/backend_server.h
+++ b/lib/query/backend_server.h
@@ -18,6 +18,8 @@
     double average = 0; ///< Microseconds.
     /// The average in good times; rises slowly.
     double floor = 0;
+    /// Queries that wait for an answer of this service.
+    std::uint32_t waiting = 0;
     /// Lowest floor among the servers, for the tolerated queueing.
     duration nearest{};
 
--- a/lib/query/engine_state.cpp
+++ b/lib/query/engine_state.cpp
@@ -83,6 +83,7 @@
     , attemptPrefix(self.value() + "-" + hexPrefix(random.next()))
     , m_lastTick(l.now())
 {
+    slots.onFall = [this] { announceFreeSlot(); };
     m_onServers = board.servers.subscribe([this](const auto &) { updateServers(); });
     m_onMembers = board.members.subscribe([this](const auto &) {
         if (share.observe(board.members.value(), loop.now()))
@@ -95,6 +96,7 @@
 
 engine_state::~engine_state()
 {
+    slots.onFall = nullptr;
     // Queries and their attempts refer to each other.
     for (const auto &query : active)
         query->drop();
@@ -319,13 +321,17 @@
     }
     double slowdown = 0;
     double measured = 0;
+    double latency = 0;
     for (const auto &[name, service] : services) {
         service->raiseFloor();
         if (service->floor <= 0)
             continue;
         slowdown += service->slowdown();
+        latency += service->average;
         ++measured;
     }
+    if (measured > 0)
+        slotTime = duration(static_cast<duration::rep>(latency / measured));
     double ratio = measured > 0 ? slowdown / measured : 1.0;
     const auto silent = std::count_if(servers.begin(), servers.end(), [](const auto &entry) {
         return entry.second->stats.suspect();
@@ -337,6 +343,19 @@
     updateConcurrency();
 }
 
+void engine_state::announceFreeSlot()
+{
+    if (m_freeSlotAnnounced || !onSlotFree)
+        return;
+    // Announced outside of the query that freed it, since what follows may start another query.
+    m_freeSlotAnnounced = true;
+    m_freeSlotTimer = loop.schedule(duration::zero(), [this] {
+        m_freeSlotAnnounced = false;
+        if (onSlotFree)
+            onSlotFree();
+    });
+}
+
 void engine_state::updateConcurrency()
 {
     std::map<service_name, std::uint32_t> sums;
--- a/lib/query/engine_state.h
+++ b/lib/query/engine_state.h
@@ -8,6 +8,7 @@
 #include "peridotwheel/state/blackboard.h"
 #include "peridotwheel/support/random_source.h"
 #include "scatter_plan.h"
+#include "slot_tracker.h"
 
 #include <map>
 #include <memory>
@@ -85,6 +86,11 @@
     std::uint64_t nextScatter = 1;
     std::uint64_t shareEpoch = 0;
     std::uint32_t concurrency = 1;
+    slot_tracker slots;
+    /// Mean latency of an attempt over all services.
+    duration slotTime{};
+    /// Called soon after slots have become free.
+    std::function<void()> onSlotFree;
 
     /// Whether a connection is open to at least one server of every service.
     bool connected() const;
@@ -102,6 +108,7 @@
     void maintain(time_point now);
     void updateConcurrency();
     void scheduleTick();
+    void announceFreeSlot();
 
     std::uint64_t m_epoch = 1;
     /// Servers that left the table and may still have attempts in flight.
@@ -109,6 +116,8 @@
     std::map<index_version, scatter_plan_ptr> m_plans;
     std::map<service_name, scatter_plan_ptr> m_plainPlans;
     std::set<std::pair<server_id, start_id>> m_leaving;
+    bool m_freeSlotAnnounced = false;
+    timer m_freeSlotTimer;
     time_point m_lastTick;
     time_point m_nextMaintenance{};
     timer m_timer;
--- a/lib/query/query_engine.cpp
+++ b/lib/query/query_engine.cpp
@@ -46,6 +46,21 @@
     return m_state->concurrency;
 }
 
+std::uint32_t query_engine::slotsInUse() const
+{
+    return m_state->slots.inUse();
+}
+
+duration query_engine::slotTime() const
+{
+    return m_state->slotTime;
+}
+
+void query_engine::setSlotFreeHook(std::function<void()> hook)
+{
+    m_state->onSlotFree = std::move(hook);
+}
+
 duration query_engine::expectedServiceTime() const
 {
     if (m_state->queryLatency.samples() == 0)
--- a/lib/query/running_query.cpp
+++ b/lib/query/running_query.cpp
@@ -160,6 +160,8 @@
     group_state g;
     g.group = &group;
     g.shards = std::move(shards);
+    if (!group.replicas.empty())
+        g.slot = slot_use(m_state.slots, group.replicas.front()->service.waiting);
     m_groups.push_back(std::move(g));
 }
 
@@ -204,6 +206,8 @@
         group_state &g = m_groups[i];
         const auto answered = [this](shard_id s) { return m_merge->has(s); };
         g.done = g.done || std::all_of(g.shards.begin(), g.shards.end(), answered);
+        if (g.done)
+            g.slot.release();
         if (!g.done && !failGroup(i, failure_cause::MayHaveRun))
             return;
     }
--- a/lib/query/running_query.h
+++ b/lib/query/running_query.h
@@ -5,6 +5,7 @@
 #include "peridotwheel/query/merge.h"
 #include "peridotwheel/support/event_loop.h"
 #include "scatter_plan.h"
+#include "slot_tracker.h"
 
 #include <memory>
 #include <optional>
@@ -44,6 +45,8 @@
         unsigned tries = 0;
         unsigned outstanding = 0;
         bool done = false;
+        /// Held until the group is answered.
+        slot_use slot;
         /// May have run and must not be sent again.
         bool unknown = false;
         /// An attempt was sent, so that a further one is an extra request.
@@ -97,6 +100,7 @@
     void refuse(answer_kind kind, std::string detail);
     void deliver(query_answer answer);
     void releaseAttempts();
+    void releaseSlots();
 
     engine_state &m_state;
     query_request m_request;
--- a/lib/query/running_query_answer.cpp
+++ b/lib/query/running_query_answer.cpp
@@ -101,6 +101,7 @@
     m_over = true;
     m_timer.cancel();
     releaseAttempts();
+    releaseSlots();
     m_state.active.erase(self);
     m_state.report(event_kind::Answer, &m_request,
                    "answered=" + std::to_string(answer.covered.answered) + "/" +
@@ -121,8 +122,15 @@
         a->giveUp();
 }
 
+void running_query::releaseSlots()
+{
+    for (group_state &g : m_groups)
+        g.slot.release();
+}
+
 void running_query::drop()
 {
+    releaseSlots();
     m_over = true;
     m_timer.cancel();
     for (const auto &a : m_attempts)
--- /dev/null
+++ b/lib/query/slot_tracker.h
@@ -0,0 +1,69 @@
+#ifndef PERIDOTWHEEL_LIB_QUERY_SLOT_TRACKER_H
+#define PERIDOTWHEEL_LIB_QUERY_SLOT_TRACKER_H
+
+#include <cstdint>
+#include <functional>
+#include <utility>
+#include <vector>
+
+namespace peridotwheel {
+
+/// Counts, for each service, the queries that still wait for an answer of it, and knows the highest
+/// count at constant cost: that is the number of slots in use.
+class slot_tracker
+{
+public:
+    /// \p waiting is the count of one service; it must be changed only here.
+    void enter(std::uint32_t &waiting);
+    void leave(std::uint32_t &waiting);
+    std::uint32_t inUse() const { return m_highest; }
+
+    /// Called when `inUse` has fallen.
+    std::function<void()> onFall;
+
+private:
+    /// Number of services by count; services without queries are not counted.
+    std::vector<std::uint32_t> m_services;
+    std::uint32_t m_highest = 0;
+};
+
+/// One query that waits for one service; ends with its lifetime or by `release`.
+class slot_use
+{
+public:
+    slot_use() = default;
+    slot_use(slot_tracker &tracker, std::uint32_t &waiting)
+        : m_tracker(&tracker)
+        , m_waiting(&waiting)
+    {
+        tracker.enter(waiting);
+    }
+    slot_use(slot_use &&other) noexcept
+        : m_tracker(std::exchange(other.m_tracker, nullptr))
+        , m_waiting(other.m_waiting)
+    {
+    }
+    slot_use &operator=(slot_use &&other) noexcept
+    {
+        std::swap(m_tracker, other.m_tracker);
+        std::swap(m_waiting, other.m_waiting);
+        return *this;
+    }
+    slot_use(const slot_use &) = delete;
+    slot_use &operator=(const slot_use &) = delete;
+    ~slot_use() { release(); }
+
+    void release()
+    {
+        if (m_tracker != nullptr)
+            std::exchange(m_tracker, nullptr)->leave(*m_waiting);
+    }
+
+private:
+    slot_tracker *m_tracker = nullptr;
+    std::uint32_t *m_waiting = nullptr;
+};
+
+} // namespace peridotwheel
+
+#endif
--- a/lib/relay/relaying_executor.cpp
+++ b/lib/relay/relaying_executor.cpp
@@ -46,6 +46,11 @@
     return m_state->directory.ownsAll() ? direct : m_state->concurrency;
 }
 
+bool relaying_executor::callsDirectly() const
+{
+    return m_state->directory.ownsAll();
+}
+
 duration relaying_executor::expectedServiceTime(duration direct) const
 {
     const auto estimate = m_state->queryTime.estimate();
--- a/unittests/limits/admission_controller_test.cpp
+++ b/unittests/limits/admission_controller_test.cpp
@@ -297,10 +297,8 @@
     make(100);
     offer(low);
     const auto waiting = offer(urgent);
-    service = milliseconds(1);
-    loop.advance(milliseconds(100));
-    service = milliseconds(2000);
-    inner.hooks[0](query_answer{});
+    const auto answer = loop.schedule(milliseconds(10), [this] { inner.hooks[0](query_answer{}); });
+    loop.pause(milliseconds(500));
     loop.runPosted();
     expectNotRun(waiting);
     EXPECT_EQ(inner.requests.size(), 1u);
--- a/unittests/limits/admission_queue_test.cpp
+++ b/unittests/limits/admission_queue_test.cpp
@@ -200,8 +200,8 @@
             RC_ASSERT(displaced == got.displaced);
         }
         if (action == 6 || action == 7) {
-            RC_ASSERT(queue.expire(now, slots) == naive.expire(now, slots.serviceTime));
-            const auto got = queue.take(now, slots);
+            RC_ASSERT(queue.expire(now) == naive.expire(now, slots.serviceTime));
+            const auto got = queue.take(now);
             RC_ASSERT(got.refused.empty());
             RC_ASSERT(got.run == naive.take());
         }
