Give scarce connections to instances of the server's data centre first

With fewer connections than instances, some data centres had one owner next to a server or none, and calls from elsewhere kept its one connection busy three times as long: queries of one data centre took 200 ms and admission refused urgent work. Where every instance gets a connection nothing changes.

The service time for admission is now the p90 of the last 32 queries; the running mean kept slow first queries for longer.

--- a/include/peridotwheel/limits/connection_share.h
+++ b/include/peridotwheel/limits/connection_share.h
@@ -5,7 +5,7 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
+#include <utility>
 #include <vector>
 
 namespace peridotwheel {
@@ -21,25 +21,35 @@
     /// Views differ by at most a few probe periods and the lag of the platform's list.
     static constexpr duration defaultHold = seconds(10);
 
-    connection_share(instance_id self, time_point now, duration hold = defaultHold);
+    connection_share(instance_id self, time_point now, duration hold = defaultHold,
+                     const data_centre_id &dataCentre = data_centre_id());
 
     /// Takes over the present view. Returns true if shares may have changed.
     bool observe(const member_map &members, time_point now);
     /// Connections that this instance may hold to \p server. At least one if the limit suffices for
-    /// all instances; otherwise the highest rendezvous weights get one each.
-    std::uint32_t operator()(const server_id &server, std::uint32_t connectionLimit) const;
-    /// Instances with a share of at least one by this view, by descending rendezvous weight.
-    std::vector<instance_id> owners(const server_id &server, std::uint32_t connectionLimit) const;
+    /// all instances; otherwise the highest rendezvous weights get one each, those in the server's
+    /// data centre \p at first: a call from elsewhere keeps the connection busy for longer.
+    std::uint32_t operator()(const server_id &server, std::uint32_t connectionLimit,
+                             const data_centre_id &at = data_centre_id()) const;
+    /// Instances with a share of at least one by this view, in the order of preference.
+    std::vector<instance_id> owners(const server_id &server, std::uint32_t connectionLimit,
+                                    const data_centre_id &at = data_centre_id()) const;
     std::size_t instances() const { return m_counted.size(); }
 
 private:
+    /// Orders the claims of instances to a server's connections; higher is served first.
+    using preference = std::pair<bool, std::uint64_t>;
+
+    static preference preferenceOf(const instance_id &id, const data_centre_id &dataCentre,
+                                   const server_id &server, const data_centre_id &at);
+
     instance_id m_self;
     duration m_hold;
     time_point m_startedAt;
     /// False until another instance was seen or the hold time has passed since the start: a new
     /// instance with an empty view would otherwise take every connection.
     bool m_confirmed = false;
-    std::set<instance_id> m_counted;
+    std::map<instance_id, data_centre_id> m_counted;
     std::map<instance_id, time_point> m_absentSince;
 };
 
--- a/lib/limits/connection_share.cpp
+++ b/lib/limits/connection_share.cpp
@@ -6,12 +6,13 @@
 
 namespace peridotwheel {
 
-connection_share::connection_share(instance_id self, time_point now, duration hold)
+connection_share::connection_share(instance_id self, time_point now, duration hold,
+                                   const data_centre_id &dataCentre)
     : m_self(std::move(self))
     , m_hold(hold)
     , m_startedAt(now)
 {
-    m_counted.insert(m_self);
+    m_counted.emplace(m_self, dataCentre);
 }
 
 bool connection_share::observe(const member_map &members, time_point now)
@@ -21,21 +22,21 @@
         if (m.state == member_state::Dead)
             continue;
         m_absentSince.erase(id);
-        changed |= m_counted.insert(id).second;
+        changed |= m_counted.emplace(id, m.dataCentre).second;
     }
     for (auto it = m_counted.begin(); it != m_counted.end();) {
-        const auto found = members.find(*it);
+        const auto found = members.find(it->first);
         const bool live = found != members.end() && found->second.state != member_state::Dead;
-        if (live || *it == m_self) {
+        if (live || it->first == m_self) {
             ++it;
             continue;
         }
-        const time_point since = m_absentSince.emplace(*it, now).first->second;
+        const time_point since = m_absentSince.emplace(it->first, now).first->second;
         if (now - since < m_hold) {
             ++it;
             continue;
         }
-        m_absentSince.erase(*it);
+        m_absentSince.erase(it->first);
         it = m_counted.erase(it);
         changed = true;
     }
@@ -45,8 +46,16 @@
     return changed;
 }
 
-std::uint32_t connection_share::operator()(const server_id &server,
-                                           std::uint32_t connectionLimit) const
+connection_share::preference connection_share::preferenceOf(const instance_id &id,
+                                                            const data_centre_id &dataCentre,
+                                                            const server_id &server,
+                                                            const data_centre_id &at)
+{
+    return {!at.value().empty() && dataCentre == at, rendezvousWeight(server.value(), id.value())};
+}
+
+std::uint32_t connection_share::operator()(const server_id &server, std::uint32_t connectionLimit,
+                                           const data_centre_id &at) const
 {
     if (!m_confirmed)
         return std::min(connectionLimit, 1U);
@@ -55,28 +64,31 @@
     const std::uint32_t remainder = connectionLimit % count;
     if (remainder == 0)
         return base;
-    const auto own = rendezvousWeight(server.value(), m_self.value());
-    std::uint32_t heavier = 0;
-    for (const auto &id : m_counted)
-        heavier += rendezvousWeight(server.value(), id.value()) > own ? 1 : 0;
-    return base + (heavier < remainder ? 1 : 0);
+    // Where all get some, the data centre does not matter.
+    const data_centre_id first = base == 0 ? at : data_centre_id();
+    const auto own = preferenceOf(m_self, m_counted.at(m_self), server, first);
+    std::uint32_t before = 0;
+    for (const auto &[id, dataCentre] : m_counted)
+        before += preferenceOf(id, dataCentre, server, first) > own ? 1 : 0;
+    return base + (before < remainder ? 1 : 0);
 }
 
 std::vector<instance_id> connection_share::owners(const server_id &server,
-                                                  std::uint32_t connectionLimit) const
+                                                  std::uint32_t connectionLimit,
+                                                  const data_centre_id &at) const
 {
-    std::vector<std::pair<std::uint64_t, const instance_id *>> weighted;
-    weighted.reserve(m_counted.size());
-    for (const auto &id : m_counted)
-        weighted.emplace_back(rendezvousWeight(server.value(), id.value()), &id);
-    const std::size_t count = std::min<std::size_t>(connectionLimit, weighted.size());
-    const auto heavier = [](const auto &a, const auto &b) { return a.first > b.first; };
-    std::partial_sort(weighted.begin(), weighted.begin() + static_cast<std::ptrdiff_t>(count),
-                      weighted.end(), heavier);
+    std::vector<std::pair<preference, const instance_id *>> ordered;
+    ordered.reserve(m_counted.size());
+    for (const auto &[id, dataCentre] : m_counted)
+        ordered.emplace_back(preferenceOf(id, dataCentre, server, at), &id);
+    const std::size_t count = std::min<std::size_t>(connectionLimit, ordered.size());
+    const auto preferred = [](const auto &a, const auto &b) { return a.first > b.first; };
+    std::partial_sort(ordered.begin(), ordered.begin() + static_cast<std::ptrdiff_t>(count),
+                      ordered.end(), preferred);
     std::vector<instance_id> out;
     out.reserve(count);
     for (std::size_t i = 0; i < count; ++i)
-        out.push_back(*weighted[i].second);
+        out.push_back(*ordered[i].second);
     return out;
 }
 
--- a/lib/query/engine_state.cpp
+++ b/lib/query/engine_state.cpp
@@ -77,7 +77,7 @@
     , dataCentre(std::move(dc))
     , options(o)
     , selector(o.selection)
-    , share(self, l.now(), o.connectionHold)
+    , share(self, l.now(), o.connectionHold, dataCentre)
     , hedges(hedgeFraction, hedgeBurst, l.now())
     , retries(retryFraction, retryBurst, l.now())
     , attemptPrefix(self.value() + "-" + hexPrefix(random.next()))
@@ -204,7 +204,7 @@
     share.observe(board.members.value(), loop.now());
     ++shareEpoch;
     for (const auto &[id, server] : servers)
-        server->applyShare(share(id, server->record.connectionLimit));
+        server->applyShare(share(id, server->record.connectionLimit, server->record.dataCentre));
     updateConcurrency();
 }
 
--- a/lib/query/query_engine.cpp
+++ b/lib/query/query_engine.cpp
@@ -53,7 +53,8 @@
     const auto it = m_state->servers.find(server);
     if (it == m_state->servers.end())
         return 0;
-    return m_state->share(server, it->second->record.connectionLimit);
+    const server_record &record = it->second->record;
+    return m_state->share(server, record.connectionLimit, record.dataCentre);
 }
 
 bool query_engine::usable(const server_id &server) const
@@ -67,7 +68,8 @@
     const auto it = m_state->servers.find(server);
     if (it == m_state->servers.end())
         return {};
-    return m_state->share.owners(server, it->second->record.connectionLimit);
+    const server_record &record = it->second->record;
+    return m_state->share.owners(server, record.connectionLimit, record.dataCentre);
 }
 
 std::uint64_t query_engine::shareEpoch() const
--- a/lib/relay/relaying_executor.cpp
+++ b/lib/relay/relaying_executor.cpp
@@ -48,7 +48,7 @@
 
 duration relaying_executor::expectedServiceTime(duration direct) const
 {
-    const auto estimate = m_state->queryTime.estimate();
+    const auto estimate = m_state->queryTime.p90();
     return m_state->directory.ownsAll() || !estimate ? direct : *estimate;
 }
 
--- a/lib/relay/service_time.h
+++ b/lib/relay/service_time.h
@@ -4,46 +4,39 @@
 #include "peridotwheel/support/units.h"
 
 #include <algorithm>
-#include <cmath>
+#include <array>
+#include <cstddef>
 #include <optional>
 
 namespace peridotwheel {
 
-/// A running estimate of the p90 of query times that forgets within some tens of queries. At the
-/// few queries per second of an instance of a large fleet, a histogram would show the first, slow
-/// queries for minutes, and admission would refuse urgent work meanwhile.
+/// The p90 of the latest query times. At the few queries per second of an instance of a large
+/// fleet, a fading histogram would show the first, slow queries for minutes, and admission would
+/// refuse urgent work meanwhile.
 class service_time
 {
 public:
     void add(duration sample)
     {
-        const auto value = static_cast<double>(sample.count());
-        if (m_samples++ == 0) {
-            m_mean = value;
-            m_deviation = value / 4;
-            return;
-        }
-        const double weight = std::max(weightOfOne, 1.0 / static_cast<double>(m_samples));
-        const double excess = std::min(value - m_mean, m_mean);
-        m_mean += weight * excess;
-        m_deviation += weight * (std::abs(excess) - m_deviation);
+        m_latest[m_samples++ % window] = sample;
+        const std::size_t count = std::min(m_samples, window);
+        auto sorted = m_latest;
+        const auto p90 = sorted.begin() + static_cast<std::ptrdiff_t>((count - 1) * 9 / 10);
+        std::nth_element(sorted.begin(), p90, sorted.begin() + static_cast<std::ptrdiff_t>(count));
+        m_p90 = *p90;
     }
 
-    std::optional<duration> estimate() const
+    std::optional<duration> p90() const
     {
-        if (m_samples == 0)
-            return std::nullopt;
-        return duration(static_cast<duration::rep>(m_mean + deviations * m_deviation));
+        return m_samples == 0 ? std::nullopt : std::optional<duration>(m_p90);
     }
 
 private:
-    static constexpr double weightOfOne = 0.05;
-    /// Of a normal distribution, the p90 is 1.6 mean absolute deviations above the mean.
-    static constexpr double deviations = 1.6;
+    static constexpr std::size_t window = 32;
 
-    double m_mean = 0;
-    double m_deviation = 0;
-    std::uint64_t m_samples = 0;
+    std::array<duration, window> m_latest{};
+    std::size_t m_samples = 0;
+    duration m_p90{};
 };
 
 } // namespace peridotwheel
--- a/unittests/limits/limits_test.cpp
+++ b/unittests/limits/limits_test.cpp
@@ -6,6 +6,7 @@
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <set>
 
 using namespace peridotwheel;
 
@@ -107,6 +108,35 @@
     RC_ASSERT(sum == limit);
 }
 
+// Failure: scarce connections go to instances that a call keeps busy for longer, instances disagree
+// about the owners, or more connections are given out than the server has.
+TEST(connection_share, scarceConnectionsGoToTheServersDataCentreFirst)
+{
+    member_map members;
+    for (int i = 0; i < 12; ++i) {
+        member m;
+        m.id = instance_id("i" + std::to_string(i));
+        m.dataCentre = data_centre_id("d" + std::to_string(i % 3));
+        members[m.id] = m;
+    }
+    const data_centre_id at("d1");
+    for (const std::uint32_t limit : {3U, 6U}) {
+        std::set<instance_id> withShare;
+        std::vector<instance_id> owners;
+        for (const auto &[id, m] : members) {
+            connection_share share(id, start, seconds(10), m.dataCentre);
+            share.observe(members, start);
+            if (share(server_id("n1"), limit, at) > 0)
+                withShare.insert(id);
+            owners = share.owners(server_id("n1"), limit, at);
+            EXPECT_EQ(owners.size(), limit);
+        }
+        EXPECT_EQ(withShare, std::set<instance_id>(owners.begin(), owners.end()));
+        for (std::size_t i = 0; i < owners.size(); ++i)
+            EXPECT_EQ(members[owners[i]].dataCentre == at, i < 4);
+    }
+}
+
 TEST(connection_share, shrinksAtOnceAndGrowsAfterTheHold)
 {
     connection_share share(instance_id("i0"), start, seconds(10));
