--- a/lib/entry/entry_instance.cpp
+++ b/lib/entry/entry_instance.cpp
@@ -53,6 +53,9 @@
 {
     http_server_limits limits;
     limits.maxBodyBytes = maxPeerBodyBytes;
+    // Relayed parts wait here for as long as their queries run.
+    limits.maxConnections = 4096;
+    limits.maxWaitingRequests = 4096;
     return limits;
 }
 
--- a/lib/relay/relayed_query_dispatch.cpp
+++ b/lib/relay/relayed_query_dispatch.cpp
@@ -98,8 +98,12 @@
     for (const std::size_t i : groups) {
         group_state &g = m_groups[i];
         const auto to = chooseTarget(g, mark, started);
-        if (!to)
+        if (!to) {
+            // Views that differ may name no owner that is known here yet.
+            if (g.outstanding == 0)
+                pause(g, 1 + m_state.random.fraction());
             continue;
+        }
         relay_peer *peer = to->peer.get();
         part_ptr p = peer == nullptr ? local : nullptr;
         if (peer != nullptr && peer->dispatchMark == mark)
--- a/lib/relay/relayed_query_parts.cpp
+++ b/lib/relay/relayed_query_parts.cpp
@@ -154,7 +154,8 @@
     const double jitter = 1 + m_state.random.fraction();
     for (const std::size_t i : groups) {
         group_state &g = m_groups[i];
-        const bool untried = hasAlternative(g);
+        const bool suspectLeft = !g.group->ownServers.empty() && !triedBefore(g, nullptr);
+        const bool untried = hasAlternative(g) || suspectLeft;
         // What did not run cost the servers nothing.
         if (untried && !g.mayHaveRun) {
             notRun.push_back(i);
