--- a/lib/relay/relaying_executor.cpp
+++ b/lib/relay/relaying_executor.cpp
@@ -53,7 +53,7 @@
 
 duration relaying_executor::expectedServiceTime(duration direct) const
 {
-    const auto estimate = m_state->queryTime.estimate();
+    const auto estimate = m_state->queryTime.p90();
     return m_state->directory.ownsAll() || !estimate ? direct : *estimate;
 }
 
