Seal refused non-repeatable requests against late copies

A load balancer may deliver the same bytes to a second instance after the first answered "not run"; the released record let that copy run. A released record now carries sealedUpTo: tries issued up to that time never run, later claims keep it, and "not run" is answered only once the seal is in the store. Without it the answer is unknown with the verdict wait. A takeover replaces the claim in one step, since a release that is read in between would be called not run. Status pages ask the store again about unknown outcomes and seal what nobody runs.

--- a/include/peridotwheel/claims/claim_lookup.h
+++ b/include/peridotwheel/claims/claim_lookup.h
@@ -19,6 +19,8 @@
 
     source from = source::Unreachable;
     std::optional<claim_record> record;
+    /// Version of the record, if there is one.
+    object_version version;
     /// The platform answered that there is no such object.
     bool absent = false;
     /// Whether the request ran, as far as the store can tell. A `Claimed` record is `Unknown`: its
--- a/include/peridotwheel/claims/claim_protocol.h
+++ b/include/peridotwheel/claims/claim_protocol.h
@@ -13,16 +13,28 @@
 
 namespace peridotwheel {
 
+/// The answer to a try that this instance did not run while a copy elsewhere may run or have run.
+query_answer refusedUnconfirmed(const std::string &why);
+
 /// One try to run one non-repeatable request at most once over all tries at all instances.
 ///
 /// Each step looks at the record last seen and makes one conditional update:
 ///
-///     absent, released      -> claimed by this try
+///     absent                -> claimed by this try
+///     released              -> claimed by this try if it was issued after the seal, else the try
+///                              ends as not run
 ///     claimed by this try   -> sent, then the request is run, once
-///     claimed by another    -> released if it is old enough, else the try ends as in progress
+///     claimed by another    -> claimed by this try if it is old enough, else the try ends as in
+///                              progress
+///     sent by this try      -> released if the request certainly did not run
 ///     sent by another       -> the try ends as in progress or outcome unknown
 ///     done, failed          -> the try ends with the stored answer
 ///
+/// The answer "not run" is given only once the store holds a seal, so that no copy of the request
+/// runs later at another instance. A takeover needs no seal: its victim has not been answered as
+/// not run, since it would have sealed the record before. It replaces the claim in one step, since
+/// a status page that reads a release in between would call the request not run.
+///
 /// A write whose reply is lost is followed by a read: the nonce tells whose write took effect. A
 /// request costs 3 platform writes (claimed, sent, done) and no reads when nothing goes wrong.
 class claim_protocol
@@ -39,8 +51,6 @@
         wall_time issuedAt{};
         time_point deadline;
         run_hook run;
-        /// Whether this instance holds or held another try that may have run the request.
-        std::function<bool()> mayHaveRunHere;
         answer_hook done; ///< Called once, never from within `start`.
     };
 
@@ -59,47 +69,46 @@
         claim_record record;
         object_version version;
     };
-    /// What the store said last, which decides whether a refusal may say "not run".
-    enum class knowledge {
-        Nothing,    ///< Nothing, or that nobody held the request.
-        OwnClaim,   ///< This try held the claim.
-        OtherHolder ///< Another try holds or held the request, or may do.
-    };
 
-    void claim(write_condition condition);
+    void claim(write_condition condition, wall_time sealedUpTo);
     void write(claim_record record, write_condition condition);
     void readBack();
     void retryReadBack();
     void onWritten(const claim_record &record, const result<object_version> &r);
     void onRead(const result<platform_object> &r);
     void evaluate(const seen_record &seen);
+    void evaluateReleased(const seen_record &seen);
     void evaluateOther(const seen_record &seen);
     void runOnce(const seen_record &seen);
     void onRun(const seen_record &seen, query_answer answer);
 
+    /// Seals the record and then gives \p answer, which says that nothing ran.
+    void seal(object_version version, query_answer answer);
+    void writeSeal(object_version version);
+    claim_record sealRecord() const;
+
     bool spendCall();
     bool mine(const claim_record &record) const { return record.nonce == m_p.nonce; }
-    ran_state refusalState() const;
     duration ageOf(wall_time t) const;
     void refuse(const std::string &why);
     void answerInProgress(const claim_record &record, duration wait);
     void finish(query_answer answer);
-    void releaseInBackground(std::optional<object_version> version);
 
     event_loop &m_loop;
     platform_client &m_platform;
     claim_settler &m_settler;
     const claim_options &m_options;
     parameters m_p;
-    time_point m_firstClaim;
     wall_time m_claimedAt{};
+    wall_time m_sealedUpTo{};
+    /// Set while a seal is being written.
+    std::optional<query_answer> m_sealAnswer;
     timer m_deadline;
     timer m_delay;
     int m_calls = 0;
     bool m_claimMayExist = false;
     bool m_ran = false;
     bool m_finished = false;
-    knowledge m_knowledge = knowledge::Nothing;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/include/peridotwheel/claims/claim_record.h
+++ b/include/peridotwheel/claims/claim_record.h
@@ -24,12 +24,19 @@
     std::string nonce;
     instance_id instance;
     wall_time claimedAt{};
+    /// Time of issue of the try that holds or held the claim.
+    wall_time issuedAt{};
+    /// Tries issued up to this time were answered as not run and never run; kept by later claims.
+    wall_time sealedUpTo{};
     /// When `state` was written.
     wall_time changedAt{};
     /// The answer of a request that is `Done` or `Failed`.
     std::optional<query_answer> answer;
 };
 
+/// Whether \p record rules out that a try issued at \p issuedAt, or a copy of it, runs.
+bool seals(const claim_record &record, wall_time issuedAt);
+
 /// Larger results are not stored with the answer; a resend then learns only that the request ran.
 constexpr std::size_t maxStoredResultBytes = 16 * 1024;
 
--- a/include/peridotwheel/claims/claiming_executor.h
+++ b/include/peridotwheel/claims/claiming_executor.h
@@ -10,10 +10,8 @@
 #include "peridotwheel/timeline/timeline_event.h"
 
 #include <cstdint>
-#include <deque>
 #include <memory>
 #include <unordered_map>
-#include <unordered_set>
 
 namespace peridotwheel {
 
@@ -52,8 +50,6 @@
     claim_protocol::parameters parametersFor(serial s, const query_request &request,
                                              answer_hook done);
     std::string drawNonce();
-    void remember(const request_id &id);
-    bool mayHaveRunHere(serial asking, const request_id &id) const;
     void onAnswer(serial s, const answer_hook &done, query_answer answer);
     void report(const request_id &id, const class_name &name, std::string text);
 
@@ -67,10 +63,6 @@
     claim_settler m_settler;
     claim_lookup m_lookup;
     std::unordered_map<serial, active_try> m_active;
-    /// Tries in progress by request id.
-    std::unordered_map<request_id, std::size_t> m_triesOf;
-    std::unordered_set<request_id> m_ranHere;
-    std::deque<request_id> m_ranOrder;
     serial m_nextSerial = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/include/peridotwheel/entry/caller_service.h
+++ b/include/peridotwheel/entry/caller_service.h
@@ -19,14 +19,32 @@
 
 namespace peridotwheel {
 
+struct claim_question
+{
+    request_id id;
+    /// Time of issue of the try that this instance has seen.
+    std::optional<wall_time> issuedAt;
+    /// The try may be sealed if no instance runs it: this instance has answered it as unknown and
+    /// will not run it.
+    bool maySeal = false;
+};
+
+struct claim_finding
+{
+    /// False if the claim store could not be asked.
+    bool read = false;
+    /// What a resend would be answered; empty if there is no record.
+    std::optional<query_answer> answer;
+};
+
 using claim_lookup_hook =
-        std::function<void(request_id, std::function<void(std::optional<query_answer>)>)>;
+        std::function<void(const claim_question &, std::function<void(claim_finding)>)>;
 
 /// What the caller service asks other components; each hook may be empty.
 struct caller_service_hooks
 {
-    /// Reads what the claim store knows about a request that this instance has not seen. It answers
-    /// with nothing if there is no record or the store could not be read.
+    /// Reads what the claim store knows about a request that this instance has not seen or whose
+    /// outcome it does not know.
     claim_lookup_hook lookupClaim;
     /// Whether the backend servers can be asked. An instance becomes ready only then, and stays
     /// ready when they fail later: other instances would fare no better.
@@ -87,9 +105,10 @@
     void replySystemStatus(const responder_ptr &out);
     void replyClassStatus(const std::string &name, const responder_ptr &out);
     void replyRequestStatus(const std::string &id, const responder_ptr &out);
-    void lookUp(const request_id &id, const responder_ptr &out);
-    void finishLookup(const std::shared_ptr<lookup> &l, const std::optional<query_answer> &answer,
-                      bool answered);
+    void lookUp(const claim_question &question, const responder_ptr &out);
+    void finishLookup(const std::shared_ptr<lookup> &l, const claim_finding &found);
+    /// The status page of \p id, which the claim store was asked about.
+    std::string textAfterLookup(const request_id &id, const claim_finding &found);
 
     bool hasState() const;
     bool knowsService(const service_name &name);
--- a/include/peridotwheel/entry/query_parser.h
+++ b/include/peridotwheel/entry/query_parser.h
@@ -35,6 +35,8 @@
     std::string message;
     /// The request's id, if it was readable.
     request_id id;
+    /// `Unknown` if the request is not repeatable and another instance may accept a copy of it.
+    ran_state ran = ran_state::No;
 };
 
 using parsed_query = boost::outcome_v2::basic_result<query_request, input_error,
@@ -56,6 +58,9 @@
 /// in status lines.
 bool isRequestId(std::string_view text);
 
+/// True if \p body is a JSON object that asks for a request that is not repeatable.
+bool asksNotRepeatable(const std::string &body);
+
 /// Parses and checks the JSON body of `POST /query`.
 parsed_query parseQuery(const std::string &body, const query_context &context);
 
--- a/include/peridotwheel/query/query.h
+++ b/include/peridotwheel/query/query.h
@@ -28,7 +28,7 @@
     /// caller asked for another.
     time_point deadline;
     bool repeatable = true;
-    /// When the caller issued the request first; required if not repeatable.
+    /// When the caller issued this try; required if not repeatable.
     std::optional<wall_time> issuedAt;
 };
 
@@ -42,8 +42,8 @@
     Expired,        ///< The deadline passed.
     RefusedLoad,    ///< Not run: the target could not be met under the present load.
     RefusedInput,   ///< Not run: the request is wrong.
-    RefusedState,   ///< Not run: this instance is starting or draining.
-    RefusedClaim,   ///< Not run: the platform could not confirm the claim.
+    RefusedState,   ///< Not run here: this instance is starting or draining.
+    RefusedClaim,   ///< Not run here: sealed, or the platform could not confirm the claim.
     InProgress,     ///< Another instance or an earlier try holds this request id.
     OutcomeUnknown, ///< Not repeatable and may have run.
     Failed,         ///< Ran and the server reported a failure, or no server could answer.
--- a/include/peridotwheel/status/request_registry.h
+++ b/include/peridotwheel/status/request_registry.h
@@ -18,6 +18,7 @@
     class_spec spec;
     bool repeatable = true;
     time_point arrival;
+    std::optional<wall_time> issuedAt;
     /// Empty while the request is in progress. The results are not kept.
     std::optional<query_answer> answer;
     time_point finished;
--- a/include/peridotwheel/status/status_text.h
+++ b/include/peridotwheel/status/status_text.h
@@ -87,9 +87,10 @@
 
 std::string systemStatusText(const status_words &words, const system_status &status);
 
-/// Status text of a request that was refused because of its content; nothing ran.
+/// Status text of a request that was refused because of its content. \p ran is `Unknown` if another
+/// instance may have accepted it.
 std::string refusedInputText(const status_words &words, const request_id &id,
-                             const std::string &detail);
+                             const std::string &detail, ran_state ran = ran_state::No);
 
 } // namespace peridotwheel
 
--- a/lib/claims/claim_lookup.cpp
+++ b/lib/claims/claim_lookup.cpp
@@ -27,7 +27,8 @@
         return view;
     case claim_state::Released:
         view.ran = ran_state::No;
-        view.text = "did not run; the claim was released";
+        view.text = "did not run and will not run; send it again with the same requestId and a new "
+                    "issuedAt";
         return view;
     }
     return view;
@@ -50,8 +51,11 @@
         return view;
     }
     const auto record = claimRecordFromJson(r.value().value);
-    if (record)
-        return viewOf(record.value());
+    if (record) {
+        view = viewOf(record.value());
+        view.version = r.value().version;
+        return view;
+    }
     view.from = claim_view::source::Store;
     view.text = record.error().message;
     return view;
--- a/lib/claims/claim_protocol.cpp
+++ b/lib/claims/claim_protocol.cpp
@@ -40,7 +40,6 @@
     , m_settler(settler)
     , m_options(options)
     , m_p(std::move(p))
-    , m_firstClaim(loop.now())
 {
 }
 
@@ -51,7 +50,7 @@
             refuse("the deadline passed before the claim was confirmed");
     });
     // Creating without reading first saves a call: most requests are not resends.
-    claim(write_condition::absent());
+    claim(write_condition::absent(), {});
 }
 
 bool claim_protocol::spendCall()
@@ -62,7 +61,7 @@
     return false;
 }
 
-void claim_protocol::claim(write_condition condition)
+void claim_protocol::claim(write_condition condition, wall_time sealedUpTo)
 {
     m_claimMayExist = true;
     m_claimedAt = m_loop.wallNow();
@@ -70,6 +69,9 @@
     record.nonce = m_p.nonce;
     record.instance = m_p.self;
     record.claimedAt = m_claimedAt;
+    record.issuedAt = m_p.issuedAt;
+    m_sealedUpTo = sealedUpTo;
+    record.sealedUpTo = sealedUpTo;
     write(std::move(record), condition);
 }
 
@@ -97,8 +99,6 @@
         refuse("the platform cannot be reached: " + r.error().message);
         return;
     }
-    if (r.error().kind == error_kind::Conflict)
-        m_knowledge = knowledge::OtherHolder;
     readBack();
 }
 
@@ -124,8 +124,11 @@
 void claim_protocol::onRead(const result<platform_object> &r)
 {
     if (!r && r.error().kind == error_kind::NotFound) {
-        m_knowledge = knowledge::Nothing;
-        claim(write_condition::absent());
+        if (m_sealAnswer) {
+            refuse("the claim was removed from the store");
+            return;
+        }
+        claim(write_condition::absent(), {});
         return;
     }
     if (!r) {
@@ -143,15 +146,17 @@
 void claim_protocol::evaluate(const seen_record &seen)
 {
     if (seen.record.state == claim_state::Released) {
-        m_knowledge = knowledge::Nothing;
-        claim(write_condition::at(seen.version));
+        evaluateReleased(seen);
         return;
     }
     if (!mine(seen.record)) {
         evaluateOther(seen);
         return;
     }
-    m_knowledge = knowledge::OwnClaim;
+    if (m_sealAnswer) {
+        writeSeal(seen.version);
+        return;
+    }
     if (seen.record.state == claim_state::Sent) {
         runOnce(seen);
         return;
@@ -164,7 +169,6 @@
 
 void claim_protocol::evaluateOther(const seen_record &seen)
 {
-    m_knowledge = knowledge::OtherHolder;
     const auto &record = seen.record;
     if (record.answer) {
         finish(*record.answer);
@@ -184,13 +188,13 @@
         return;
     }
     const duration left = m_options.patience - ageOf(record.changedAt);
-    if (left > duration::zero()) {
-        answerInProgress(record, left);
+    // A sealed try must not run in place of a later one.
+    const bool mayTakeOver = !m_sealAnswer && m_p.issuedAt > record.sealedUpTo;
+    if (left > duration::zero() || !mayTakeOver) {
+        answerInProgress(record, left > duration::zero() ? left : refusedRetryAfter);
         return;
     }
-    claim_record released = record;
-    released.state = claim_state::Released;
-    write(std::move(released), write_condition::at(seen.version));
+    claim(write_condition::at(seen.version), record.sealedUpTo);
 }
 
 void claim_protocol::runOnce(const seen_record &seen)
@@ -198,11 +202,10 @@
     assert(!m_ran && "a try runs its request once");
     // The process may have been paused since the update was written.
     if (m_loop.now() >= m_p.deadline) {
-        releaseInBackground(seen.version);
         query_answer answer;
         answer.kind = answer_kind::Expired;
         answer.detail = "the deadline passed before the request was sent; it did not run";
-        finish(std::move(answer));
+        seal(seen.version, std::move(answer));
         return;
     }
     m_ran = true;
@@ -217,8 +220,7 @@
 void claim_protocol::onRun(const seen_record &seen, query_answer answer)
 {
     if (certainlyNotRun(answer)) {
-        releaseInBackground(seen.version);
-        finish(std::move(answer));
+        seal(seen.version, std::move(answer));
         return;
     }
     if (answer.ran != ran_state::Yes) {
@@ -235,19 +237,6 @@
     finish(std::move(answer));
 }
 
-ran_state claim_protocol::refusalState() const
-{
-    if (m_knowledge == knowledge::OtherHolder || m_p.mayHaveRunHere())
-        return ran_state::Unknown;
-    if (m_knowledge == knowledge::OwnClaim) {
-        // Later, another instance may have taken over the claim and run the request. A retry of the
-        // claim does not count: the record may come from the first write, delayed on its way.
-        const bool held = m_loop.now() - m_firstClaim < m_options.patience / 2;
-        return held ? ran_state::No : ran_state::Unknown;
-    }
-    return ageOf(m_p.issuedAt) > m_options.resendAge ? ran_state::Unknown : ran_state::No;
-}
-
 duration claim_protocol::ageOf(wall_time t) const
 {
     return m_loop.wallNow() - t;
@@ -255,18 +244,9 @@
 
 void claim_protocol::refuse(const std::string &why)
 {
-    const ran_state ran = refusalState();
     if (m_claimMayExist)
-        releaseInBackground(std::nullopt);
-    if (ran == ran_state::Unknown) {
-        finish(outcomeUnknown("this try did not run, but an earlier one may have: " + why));
-        return;
-    }
-    query_answer answer;
-    answer.kind = answer_kind::RefusedClaim;
-    answer.retryAfter = refusedRetryAfter;
-    answer.detail = "not run and will not run: " + why + "; send it again with the same id";
-    finish(std::move(answer));
+        m_settler.settle(m_p.id, sealRecord(), std::nullopt);
+    finish(refusedUnconfirmed(why));
 }
 
 void claim_protocol::answerInProgress(const claim_record &record, duration wait)
@@ -290,14 +270,4 @@
     done(std::move(answer));
 }
 
-void claim_protocol::releaseInBackground(std::optional<object_version> version)
-{
-    claim_record released;
-    released.state = claim_state::Released;
-    released.nonce = m_p.nonce;
-    released.instance = m_p.self;
-    released.claimedAt = m_claimedAt;
-    m_settler.settle(m_p.id, std::move(released), version);
-}
-
 } // namespace peridotwheel
--- a/lib/claims/claim_record.cpp
+++ b/lib/claims/claim_record.cpp
@@ -115,6 +115,11 @@
     return nameOf(stateNames, state, "unknown");
 }
 
+bool seals(const claim_record &record, wall_time issuedAt)
+{
+    return record.state == claim_state::Released && issuedAt <= record.sealedUpTo;
+}
+
 object_key claimKey(const request_id &id)
 {
     return {"claims", id.value()};
@@ -122,10 +127,9 @@
 
 std::string toJson(const claim_record &record)
 {
-    json j = {{"state", toString(record.state)},
-              {"nonce", record.nonce},
-              {"instance", record.instance.value()},
-              {"claimedAt", toMs(record.claimedAt)},
+    json j = {{"state", toString(record.state)},     {"nonce", record.nonce},
+              {"instance", record.instance.value()}, {"claimedAt", toMs(record.claimedAt)},
+              {"issuedAt", toMs(record.issuedAt)},   {"sealedUpTo", toMs(record.sealedUpTo)},
               {"changedAt", toMs(record.changedAt)}};
     if (record.answer)
         j["answer"] = answerToJson(*record.answer);
@@ -147,6 +151,9 @@
         record.nonce = j.at("nonce").get<std::string>();
         record.instance = instance_id(j.at("instance").get<std::string>());
         record.claimedAt = fromMs(j.at("claimedAt").get<std::int64_t>());
+        // Records of earlier releases have no seal.
+        record.issuedAt = fromMs(j.value("issuedAt", std::int64_t{0}));
+        record.sealedUpTo = fromMs(j.value("sealedUpTo", std::int64_t{0}));
         record.changedAt = fromMs(j.at("changedAt").get<std::int64_t>());
         if (j.contains("answer"))
             record.answer = answerFromJson(j.at("answer"));
--- a/lib/claims/claiming_executor.cpp
+++ b/lib/claims/claiming_executor.cpp
@@ -78,15 +78,17 @@
 
 void claiming_executor::refuseOld(const request_id &id, duration age, answer_hook done)
 {
-    const bool recordsKept = age <= m_options.retention;
-    m_lookup.lookUp(id, [recordsKept, done = std::move(done)](const claim_view &view) {
+    // Beyond the margin every copy is refused as well, so that absence stays.
+    const bool final =
+            age <= m_options.retention && age > m_options.retention / 2 + m_options.copyMargin;
+    m_lookup.lookUp(id, [final, done = std::move(done)](const claim_view &view) {
         if (view.record && view.record->answer) {
             done(*view.record->answer);
             return;
         }
         query_answer answer;
         answer.kind = answer_kind::RefusedInput;
-        answer.ran = view.absent && recordsKept ? ran_state::No : view.ran;
+        answer.ran = view.absent && final ? ran_state::No : view.ran;
         answer.detail =
                 "not run by this try: issued more than 12 h ago; earlier tries: " + view.text +
                 "; issue it anew under a new id if it is still wanted";
@@ -96,11 +98,16 @@
 
 void claiming_executor::runClaimed(const query_request &request, answer_hook done)
 {
+    if (m_active.size() >= m_options.maxActive) {
+        // A copy elsewhere cannot be ruled out without a platform call.
+        m_loop.post([done = std::move(done)] {
+            done(refusedUnconfirmed("too many requests that are not repeatable are in progress"));
+        });
+        return;
+    }
     const serial s = m_nextSerial++;
-    ++m_triesOf[request.id];
     auto p = parametersFor(s, request, std::move(done));
     p.run = [this, request](answer_hook answered) {
-        remember(request.id);
         report(request.id, request.spec.name, "claim sent");
         m_inner.run(request, std::move(answered));
     };
@@ -120,7 +127,6 @@
     p.nonce = drawNonce();
     p.issuedAt = *request.issuedAt;
     p.deadline = request.deadline;
-    p.mayHaveRunHere = [this, s, id = request.id] { return mayHaveRunHere(s, id); };
     p.done = [this, s, name = request.spec.name, done = std::move(done)](query_answer answer) {
         report(m_active[s].id, name, std::string("claim ") + nameOf(answer.kind));
         onAnswer(s, done, std::move(answer));
@@ -137,31 +143,8 @@
     return text.data();
 }
 
-void claiming_executor::remember(const request_id &id)
-{
-    if (!m_ranHere.insert(id).second)
-        return;
-    m_ranOrder.push_back(id);
-    if (m_ranOrder.size() <= m_options.maxRemembered)
-        return;
-    m_ranHere.erase(m_ranOrder.front());
-    m_ranOrder.pop_front();
-}
-
-bool claiming_executor::mayHaveRunHere(serial asking, const request_id &id) const
-{
-    if (m_ranHere.count(id) != 0)
-        return true;
-    const auto tries = m_triesOf.find(id);
-    const std::size_t own = m_active.count(asking);
-    return tries != m_triesOf.end() && tries->second > own;
-}
-
 void claiming_executor::onAnswer(serial s, const answer_hook &done, query_answer answer)
 {
-    const auto tries = m_triesOf.find(m_active[s].id);
-    if (--tries->second == 0)
-        m_triesOf.erase(tries);
     // The protocol object is still on the stack.
     std::weak_ptr<bool> alive = m_alive;
     m_loop.post([this, alive, s] {
--- a/lib/entry/answer_renderer.cpp
+++ b/lib/entry/answer_renderer.cpp
@@ -89,7 +89,7 @@
     case answer_kind::RefusedState:
         return "not run: this instance is not serving; retry, another instance will answer";
     case answer_kind::RefusedClaim:
-        return "not run: the claim could not be confirmed; retry with the same requestId";
+        return "the claim could not be confirmed; follow the status";
     case answer_kind::InProgress:
         return "a try with this requestId is in progress; ask GET /status/ID";
     case answer_kind::OutcomeUnknown:
@@ -148,10 +148,10 @@
 
 http_reply renderInputError(const input_error &e, const std::string &statusText)
 {
-    std::string body = head(e.id, ran_state::No);
+    std::string body = head(e.id, e.ran);
     appendError(body, e.kind, e.message);
     body += ",\"status\":" + quoted(statusText) + "}\n";
-    return jsonReply(e.httpStatus, std::move(body), ran_state::No);
+    return jsonReply(e.httpStatus, std::move(body), e.ran);
 }
 
 http_reply renderText(int httpStatus, std::string text)
--- a/lib/entry/caller_service.cpp
+++ b/lib/entry/caller_service.cpp
@@ -129,7 +129,16 @@
     if (!accepts || !hasState()) {
         const char *detail = accepts ? "not run: configuration or shard map not known yet; retry"
                                      : "not run: this instance is starting or stopped; retry";
-        return replyUnregistered({}, refusedState(detail), out);
+        query_request unread;
+        unread.repeatable = !asksNotRepeatable(request.body);
+        query_answer answer = refusedState(detail);
+        if (!unread.repeatable) {
+            answer.ran = ran_state::Unknown;
+            answer.detail =
+                    "not run by this instance, which is starting or stopped, but a copy may "
+                    "run at another; ask GET /status/ID later";
+        }
+        return replyUnregistered(unread, answer, out);
     }
     auto parsed = parseQuery(request.body, context);
     if (!parsed)
@@ -143,9 +152,10 @@
     if (const auto *entry = m_registry.find(request.id, m_loop.now())) {
         if (entry->repeatable != request.repeatable) {
             return replyInputError({409, "id-in-use",
-                                    "not run: requestId was used with another value of "
-                                    "repeatable; choose a new one",
-                                    request.id},
+                                    "not run here: requestId was used with another value "
+                                    "of repeatable; choose a new one",
+                                    request.id,
+                                    request.repeatable ? ran_state::No : ran_state::Unknown},
                                    out);
         }
         // Repeatable duplicates run independently: each caller gets the whole answer to its own
@@ -187,7 +197,7 @@
 void caller_service::replyInputError(const input_error &e, const responder_ptr &out)
 {
     m_counters.at("callers.refused-input").add();
-    out->reply(renderInputError(e, refusedInputText(words(), e.id, e.message)));
+    out->reply(renderInputError(e, refusedInputText(words(), e.id, e.message, e.ran)));
 }
 
 void caller_service::replyUnregistered(const query_request &request, const query_answer &answer,
--- a/lib/entry/caller_status.cpp
+++ b/lib/entry/caller_status.cpp
@@ -3,6 +3,37 @@
 
 namespace peridotwheel {
 
+namespace {
+
+bool storeMayKnowMore(const request_entry &entry)
+{
+    return !entry.repeatable && (!entry.answer || entry.answer->ran == ran_state::Unknown);
+}
+
+/// This instance did not run the request, but a copy elsewhere may have.
+bool undecided(const query_answer &answer)
+{
+    return answer.kind == answer_kind::RefusedClaim && answer.ran == ran_state::Unknown;
+}
+
+/// What this instance remembers, unless the claim store knows more.
+std::optional<query_answer> combine(const std::optional<query_answer> &own,
+                                    const claim_finding &found)
+{
+    const bool openHere = own && (undecided(*own) || own->kind == answer_kind::InProgress);
+    if (found.answer && (found.answer->ran != ran_state::Unknown || openHere))
+        return found.answer;
+    if (!found.read || !openHere)
+        return own;
+    query_answer answer = *own;
+    answer.kind = answer_kind::RefusedClaim;
+    answer.detail = "the claim store has no claim of this try: it has not run so far, but a copy "
+                    "may still be under way; ask again";
+    return answer;
+}
+
+} // namespace
+
 void caller_service::replySystemStatus(const responder_ptr &out)
 {
     system_status status;
@@ -50,56 +81,66 @@
                 out);
     }
     const request_id wanted(id);
-    if (const auto *entry = m_registry.find(wanted, m_loop.now()))
+    const auto *entry = m_registry.find(wanted, m_loop.now());
+    if (entry && (!storeMayKnowMore(*entry) || !m_hooks.lookupClaim))
         return out->reply(renderText(200, requestStatusText(words(), statusOf(*entry))));
     if (!m_hooks.lookupClaim)
         return out->reply(
                 renderText(200, unknownRequestText(words(), wanted, claim_search::NotAsked)));
-    lookUp(wanted, out);
+    if (!entry)
+        return lookUp({wanted, {}, false}, out);
+    lookUp({wanted, entry->issuedAt, entry->answer && undecided(*entry->answer)}, out);
 }
 
-void caller_service::lookUp(const request_id &id, const responder_ptr &out)
+void caller_service::lookUp(const claim_question &question, const responder_ptr &out)
 {
-    if (m_lookups.size() >= m_options.maxLookups) {
-        return out->reply(
-                renderText(200, unknownRequestText(words(), id, claim_search::Unreachable)));
-    }
+    if (m_lookups.size() >= m_options.maxLookups)
+        return out->reply(renderText(200, textAfterLookup(question.id, {})));
     auto l = std::make_shared<lookup>();
-    l->id = id;
+    l->id = question.id;
     l->out = out;
     m_lookups.insert(l);
     // The lookup is named by a weak pointer: it ends with its first result.
     const std::weak_ptr<lookup> weak = l;
     l->timeout = m_loop.schedule(m_options.lookupTimeout, [this, weak] {
         if (auto waiting = weak.lock())
-            finishLookup(waiting, std::nullopt, false);
+            finishLookup(waiting, {});
     });
-    m_hooks.lookupClaim(id, [this, weak, alive = std::weak_ptr<int>(m_alive)](
-                                    const std::optional<query_answer> &answer) {
+    m_hooks.lookupClaim(question, [this, weak, alive = std::weak_ptr<int>(m_alive)](
+                                          const claim_finding &found) {
         auto waiting = weak.lock();
         if (!alive.expired() && waiting)
-            finishLookup(waiting, answer, true);
+            finishLookup(waiting, found);
     });
 }
 
-void caller_service::finishLookup(const std::shared_ptr<lookup> &l,
-                                  const std::optional<query_answer> &answer, bool answered)
+void caller_service::finishLookup(const std::shared_ptr<lookup> &l, const claim_finding &found)
 {
     if (m_lookups.erase(l) == 0)
         return;
     l->timeout.cancel();
-    if (answer) {
+    l->out->reply(renderText(200, textAfterLookup(l->id, found)));
+}
+
+std::string caller_service::textAfterLookup(const request_id &id, const claim_finding &found)
+{
+    // The request may have ended or left the registry while the store was asked.
+    if (const auto *entry = m_registry.find(id, m_loop.now())) {
+        request_status status = statusOf(*entry);
+        if (storeMayKnowMore(*entry))
+            status.answer = combine(entry->answer, found);
+        return requestStatusText(words(), status);
+    }
+    if (found.answer) {
         request_status status;
-        status.id = l->id;
+        status.id = id;
         // Only requests that are not repeatable have claims.
         status.repeatable = false;
-        status.answer = answer;
-        return l->out->reply(renderText(200, requestStatusText(words(), status)));
+        status.answer = found.answer;
+        return requestStatusText(words(), status);
     }
-    // Without a record the store may also have failed; the platform's health tells.
-    const bool read = answered && m_board.platformHealth.value().reachable;
-    const auto search = read ? claim_search::NotFound : claim_search::Unreachable;
-    l->out->reply(renderText(200, unknownRequestText(words(), l->id, search)));
+    const auto search = found.read ? claim_search::NotFound : claim_search::Unreachable;
+    return unknownRequestText(words(), id, search);
 }
 
 } // namespace peridotwheel
--- a/lib/entry/entry_instance.cpp
+++ b/lib/entry/entry_instance.cpp
@@ -1,5 +1,6 @@
 #include "peridotwheel/entry/entry_instance.h"
 
+#include "peridotwheel/claims/claim_inquiry.h"
 #include "peridotwheel/claims/claim_sweeper.h"
 #include "peridotwheel/claims/claiming_executor.h"
 #include "peridotwheel/drain/drain_controller.h"
@@ -55,34 +56,6 @@
     return limits;
 }
 
-/// The status page shows a stored claim as a resend of the request would be answered.
-std::optional<query_answer> answerFrom(const claim_view &view)
-{
-    if (view.from == claim_view::source::Unreachable || !view.record)
-        return std::nullopt;
-    if (view.record->answer)
-        return view.record->answer;
-    query_answer answer;
-    answer.ran = view.ran;
-    answer.detail = view.text;
-    switch (view.record->state) {
-    case claim_state::Released:
-        answer.kind = answer_kind::RefusedClaim;
-        break;
-    case claim_state::Claimed:
-    case claim_state::Sent:
-        answer.kind = answer_kind::InProgress;
-        break;
-    case claim_state::Done:
-        answer.kind = answer_kind::Complete;
-        break;
-    case claim_state::Failed:
-        answer.kind = answer_kind::OutcomeUnknown;
-        break;
-    }
-    return answer;
-}
-
 } // namespace
 
 /// The components in the order of their dependencies; destroyed in the opposite order.
@@ -107,6 +80,7 @@
     admission_controller admission;
     claiming_executor claiming;
     claim_lookup claimLookup;
+    claim_inquiry claimInquiry;
     caller_service callers;
     http_server callerServer;
     drain_controller drain;
@@ -134,9 +108,17 @@
                 counters, events.sink(), o.seed + AdmissionSeed, o.admission)
     , claiming(loop, platform, admission, s.id, claimRandom, events.sink(), o.claims)
     , claimLookup(platform)
+    , claimInquiry(loop, platform, s.id, o.claims)
     , callers(loop, board, claiming,
-              {[this](const request_id &id, auto done) {
-                   claimLookup.lookUp(id, [done](const claim_view &v) { done(answerFrom(v)); });
+              {[this, &loop, limits = o.claims](const claim_question &question, auto done) {
+                   const auto onView = [&loop, limits, done](const claim_view &v) {
+                       done({v.from == claim_view::source::Store,
+                             answerFrom(v, loop.wallNow(), limits)});
+                   };
+                   if (question.issuedAt)
+                       claimInquiry.ask(question.id, *question.issuedAt, question.maySeal, onView);
+                   else
+                       claimLookup.lookUp(question.id, onView);
                },
                [this] { return engine.connected(); },
                [this](const class_name &name) { return admission.loadOf(name); },
--- a/lib/entry/query_parser.cpp
+++ b/lib/entry/query_parser.cpp
@@ -178,7 +178,7 @@
     }
     if (!request.issuedAt) {
         return refuse("missing-issued-at", "a request that is not repeatable needs issuedAt; use "
-                                           "the time of the first try for every try");
+                                           "the time at which this try was issued");
     }
     if (context.wallNow - *request.issuedAt > maxIssueAge) {
         return refuse("too-old", "issuedAt is more than 12 hours ago; find out whether the request "
@@ -200,6 +200,20 @@
     return checkNonRepeatable(context, request);
 }
 
+bool isNotRepeatable(const json &object)
+{
+    const json *repeatable = member(object, "repeatable");
+    return repeatable != nullptr && *repeatable == false;
+}
+
+/// Whether another instance may accept the same bytes: it may have another configuration or clock,
+/// or may have received them earlier or later.
+bool dependsOnInstance(const std::string &kind)
+{
+    return kind == "unknown-class" || kind == "unknown-service" || kind == "bad-issued-at" ||
+           kind == "too-old";
+}
+
 bool isPlain(char c)
 {
     return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
@@ -216,6 +230,12 @@
     });
 }
 
+bool asksNotRepeatable(const std::string &body)
+{
+    const json object = json::parse(body, nullptr, false);
+    return object.is_object() && isNotRepeatable(object);
+}
+
 parsed_query parseQuery(const std::string &body, const query_context &context)
 {
     const json object = json::parse(body, nullptr, false);
@@ -226,6 +246,8 @@
     if (!outcome) {
         input_error e = std::move(outcome).error();
         e.id = request.id;
+        if (isNotRepeatable(object) && dependsOnInstance(e.kind))
+            e.ran = ran_state::Unknown;
         return boost::outcome_v2::failure(std::move(e));
     }
     if (request.id.value().empty())
--- a/lib/status/request_registry.cpp
+++ b/lib/status/request_registry.cpp
@@ -25,7 +25,8 @@
     slot &s = it->second;
     if (!isNew && s.entry.answer)
         m_finished.erase(s.order);
-    s.entry = {request.id, request.spec, request.repeatable, request.arrival, {}, {}};
+    s.entry = {request.id, request.spec, request.repeatable, request.arrival, request.issuedAt, {},
+               {}};
     s.current = m_next++;
     return s.current;
 }
--- a/lib/status/status_text.cpp
+++ b/lib/status/status_text.cpp
@@ -189,6 +189,12 @@
         return {verdict::Wait, answer.retryAfter.value_or(defaultWaitDelay)};
     if (answer.kind == answer_kind::Partial && (enough || !repeatable))
         return {ranForSure ? verdict::Done : verdict::GiveUp, {}};
+    // The claim store may tell later whether a copy ran.
+    const bool refused =
+            answer.kind == answer_kind::RefusedClaim || answer.kind == answer_kind::RefusedState;
+    const bool undecided = refused && answer.ran == ran_state::Unknown;
+    if (!repeatable && undecided)
+        return {verdict::Wait, platformRetryDelay};
     if (!repeatable && mayHaveRun(answer))
         return {verdict::GiveUp, {}};
     const bool needsPlatform = answer.kind == answer_kind::RefusedClaim;
@@ -293,10 +299,11 @@
 }
 
 std::string refusedInputText(const status_words &words, const request_id &id,
-                             const std::string &detail)
+                             const std::string &detail, ran_state ran)
 {
     query_answer answer;
     answer.kind = answer_kind::RefusedInput;
+    answer.ran = ran;
     answer.detail = detail;
     request_status status;
     status.id = id;
