--- a/lib/claims/claim_inquiry.cpp
+++ b/lib/claims/claim_inquiry.cpp
@@ -9,14 +9,14 @@
 /// No try has a nonce of this form, so none takes the seal for its own.
 constexpr const char *inquiryNonce = "status-inquiry";
 
-claim_view forTry(wall_time issuedAt, claim_view view)
+claim_view forTry(wall_time issuedAt, const claim_view &seen)
 {
-    const bool released = view.record && view.record->state == claim_state::Released;
-    if (!released || seals(*view.record, issuedAt))
-        return view;
-    view.record.reset();
+    const bool released = seen.record && seen.record->state == claim_state::Released;
+    if (!released || seals(*seen.record, issuedAt))
+        return seen;
+    claim_view view;
+    view.from = seen.from;
     view.absent = true;
-    view.ran = ran_state::Unknown;
     view.text = "only earlier tries are recorded as not run";
     return view;
 }
@@ -36,11 +36,11 @@
 void claim_inquiry::ask(const request_id &id, wall_time issuedAt, bool maySeal, view_hook done)
 {
     std::weak_ptr<bool> alive = m_alive;
-    m_lookup.lookUp(id,
-                    [this, alive, id, issuedAt, maySeal, done = std::move(done)](claim_view view) {
-                        if (!alive.expired())
-                            onView(id, issuedAt, maySeal, view, done);
-                    });
+    m_lookup.lookUp(id, [this, alive, id, issuedAt, maySeal,
+                         done = std::move(done)](const claim_view &view) {
+        if (!alive.expired())
+            onView(id, issuedAt, maySeal, view, done);
+    });
 }
 
 bool claim_inquiry::canSeal(wall_time issuedAt, const claim_view &view) const
