Find instances through their peers, wait for a peer before readiness

The platform's list lags and may be unreachable, so that peridotctl missed instances that had just started and showed nothing during an outage. A page of another instance at a reused address is no longer taken for the listed one's.

A restarted instance could become ready with an older configuration than its peers held; readiness now waits for an exchange that shows versions no older than a peer's, or 2 s.

max_waiting now bounds the admission queue; seeds depend on the instance, its start and the component.

--- a/include/peridotwheel/configuration/settings.h
+++ b/include/peridotwheel/configuration/settings.h
@@ -24,8 +24,9 @@
     endpoint platform;
     std::uint64_t maxBodyBytes = 64 * 1024;
     std::uint64_t maxConnections = 1024;
-    /// Queries that may wait for admission.
-    std::uint64_t maxWaiting = 10000;
+    /// Queries that may wait for admission. What waits longer than its target allows is refused, so
+    /// that a longer queue would only help in short bursts.
+    std::uint64_t maxWaiting = 256;
     /// Bound of a graceful shutdown; at most `maxShutdown`.
     duration shutdown = seconds(10);
     std::string logLevel = "info";
--- a/include/peridotwheel/ctl/commands.h
+++ b/include/peridotwheel/ctl/commands.h
@@ -2,7 +2,7 @@
 #define PERIDOTWHEEL_CTL_COMMANDS_H
 
 #include "peridotwheel/configuration/configuration_document.h"
-#include "peridotwheel/ctl/fleet_client.h"
+#include "peridotwheel/ctl/fleet_directory.h"
 #include "peridotwheel/timeline/timeline_merge.h"
 
 #include <ostream>
@@ -25,8 +25,12 @@
 class operator_commands
 {
 public:
-    operator_commands(fleet_client &fleet, std::ostream &out, std::ostream &err, bool json)
+    /// \p fallback: operators' addresses of instances, asked for the fleet's members while the
+    /// platform does not answer.
+    operator_commands(fleet_client &fleet, std::vector<endpoint> fallback, std::ostream &out,
+                      std::ostream &err, bool json)
         : m_fleet(fleet)
+        , m_directory(fleet, std::move(fallback))
         , m_out(out)
         , m_err(err)
         , m_json(json)
@@ -49,23 +53,21 @@
     result<configuration_document> readConfiguration();
     exit_status write(const struct configuration_change &change);
     exit_status fail(const error &e);
-    /// Fetches \p path from every instance and reports those that did not answer.
-    result<std::vector<instance_page>> pages(const std::string &path);
-    exit_status statusOf(const std::vector<instance_page> &pages);
+    /// Fetches \p path from every instance that the platform or a peer knows of, and reports those
+    /// that did not answer.
+    result<std::vector<listed_page>> pages(const std::string &path);
+    exit_status statusOf(const std::vector<listed_page> &pages);
+    /// The array of the pages' fields, or of the problems.
+    void printJson(const std::vector<listed_page> &pages);
     void printClasses(const configuration_document &document);
 
     fleet_client &m_fleet;
+    fleet_directory m_directory;
     std::ostream &m_out;
     std::ostream &m_err;
     bool m_json;
 };
 
-/// Reads the platform's address from the settings file of `peridotctl`.
-result<endpoint> readCtlSettings(const std::string &path);
-
-/// Parses "140ms", "2s" or "500us". Error: `InvalidArgument`.
-result<duration> parseDuration(const std::string &text);
-
 } // namespace peridotwheel
 
 #endif
--- a/include/peridotwheel/ctl/fleet_client.h
+++ b/include/peridotwheel/ctl/fleet_client.h
@@ -32,14 +32,17 @@
 class fleet_client
 {
 public:
-    explicit fleet_client(const endpoint &platform, duration timeout = seconds(2));
+    /// \p loop is run by each call until its answer has arrived.
+    fleet_client(libevent_loop &loop, const endpoint &platform, duration timeout = seconds(2));
 
     platform_client &platform() { return m_platform; }
     event_loop &loop() { return m_loop; }
 
     /// Error: as `platform_client`.
     result<std::vector<member>> instances();
-    /// One entry for each member, in the order given.
+    /// One entry for each member, in the order given. A page that is not of the member itself,
+    /// since another instance has taken over its address, counts as a problem; a member without an
+    /// id may be any instance.
     std::vector<instance_page> fetch(const std::vector<member> &members, const std::string &path);
 
     /// Calls \p start with a hook and runs the loop until the hook is called.
@@ -57,7 +60,7 @@
     }
 
 private:
-    libevent_loop m_loop;
+    libevent_loop &m_loop;
     evhttp_connector m_connector;
     pooled_http_client m_http;
     http_platform_client m_platform;
--- a/include/peridotwheel/entry/caller_service.h
+++ b/include/peridotwheel/entry/caller_service.h
@@ -35,6 +35,9 @@
     std::function<class_load(const class_name &)> classLoad;
     /// Present load of the instance; its `retryAfter` is set while any class is refused.
     std::function<class_load()> systemLoad;
+    /// Whether what this instance holds is as new as what its peers hold; asked until it is true
+    /// once.
+    std::function<bool()> informed;
 };
 
 struct caller_service_options
@@ -108,6 +111,7 @@
     std::size_t m_inProgress = 0;
     time_point m_started;
     bool m_wasConnected = false;
+    bool m_wasInformed = false;
     std::set<std::shared_ptr<lookup>> m_lookups;
     // Services named by the two sections below, rebuilt when either is replaced.
     std::set<service_name> m_services;
--- a/include/peridotwheel/peer/peer_gossip.h
+++ b/include/peridotwheel/peer/peer_gossip.h
@@ -43,6 +43,9 @@
     /// Sends the present state to the data centre and, if \p everywhere, to one member of each
     /// other data centre.
     void push(bool everywhere);
+    /// True from the first exchange on after which this instance holds versions no older than those
+    /// of the peer.
+    bool caughtUp() const { return m_caughtUp; }
 
 private:
     struct documents
@@ -72,6 +75,7 @@
     random_source m_random;
     peer_gossip_options m_options;
     bool m_leavingPushPending = false;
+    bool m_caughtUp = false;
     std::shared_ptr<peer_gossip *> m_this;
 };
 
--- a/lib/bench/fleet_load.cpp
+++ b/lib/bench/fleet_load.cpp
@@ -20,7 +20,8 @@
 
 result<attempt_counts> countAttempts(const endpoint &platform)
 {
-    fleet_client fleet(platform);
+    libevent_loop loop;
+    fleet_client fleet(loop, platform);
     BOOST_OUTCOME_TRY(members, fleet.instances());
     attempt_counts sum;
     for (const auto &page : fleet.fetch(members, "/operator/counters")) {
--- a/lib/ctl/fleet_client.cpp
+++ b/lib/ctl/fleet_client.cpp
@@ -1,5 +1,7 @@
 #include "peridotwheel/ctl/fleet_client.h"
 
+#include <nlohmann/json.hpp>
+
 namespace peridotwheel {
 
 namespace {
@@ -21,10 +23,26 @@
     return "HTTP status " + std::to_string(outcome.reply.status);
 }
 
+/// Why \p body is not the page of \p id, or nothing if it is.
+std::string problemWith(const std::string &body, const instance_id &id)
+{
+    const auto page = nlohmann::json::parse(body, nullptr, false);
+    if (!page.is_object())
+        return "the page is not JSON";
+    // The timeline's page names processes, of which instances are one kind.
+    const auto name = page.find(page.contains("instance") ? "instance" : "process");
+    if (name == page.end() || !name->is_string())
+        return "the page names no instance";
+    if (!id.value().empty() && name->get<std::string>() != id.value())
+        return "its address now belongs to " + name->get<std::string>();
+    return "";
+}
+
 } // namespace
 
-fleet_client::fleet_client(const endpoint &platform, duration timeout)
-    : m_connector(m_loop)
+fleet_client::fleet_client(libevent_loop &loop, const endpoint &platform, duration timeout)
+    : m_loop(loop)
+    , m_connector(m_loop)
     , m_http(m_connector)
     , m_platform(m_http, platformOptions(platform, timeout))
     , m_timeout(timeout)
@@ -49,10 +67,11 @@
         pages[i].dataCentre = members[i].dataCentre;
         m_http.send(members[i].operators, {http_method::Get, path, {}, ""}, m_timeout,
                     [&, i](http_outcome outcome) {
-                        if (outcome.ok() && outcome.reply.status == 200)
+                        const bool ok = outcome.ok() && outcome.reply.status == 200;
+                        pages[i].problem = ok ? problemWith(outcome.reply.body, pages[i].id)
+                                              : describe(outcome);
+                        if (pages[i].problem.empty())
                             pages[i].body = std::move(outcome.reply.body);
-                        else
-                            pages[i].problem = describe(outcome);
                         if (--open == 0)
                             m_loop.stop();
                     });
--- a/lib/ctl/fleet_commands.cpp
+++ b/lib/ctl/fleet_commands.cpp
@@ -2,7 +2,6 @@
 #include "peridotwheel/ctl/text_table.h"
 
 #include <algorithm>
-#include <INIReader.h>
 #include <map>
 #include <nlohmann/json.hpp>
 
@@ -34,14 +33,27 @@
     return page.body ? "" : "unreachable: " + page.problem;
 }
 
+/// The last column of a table: why the row is not as usual.
+std::string noteOf(const listed_page &page)
+{
+    std::string note = problemOf(page);
+    if (page.listed.onPlatformList)
+        return note;
+    note += note.empty() ? "" : "; ";
+    return note + "not on the platform's list, peers say " + page.listed.peersSay;
+}
+
 /// One object for each instance, with the page's fields or the problem.
-json merged(const std::vector<instance_page> &pages)
+json merged(const std::vector<listed_page> &pages)
 {
     json out = json::array();
     for (const auto &page : pages) {
         json entry = parsed(page);
         entry["instance"] = page.id.value();
         entry["dataCentre"] = page.dataCentre.value();
+        entry["onPlatformList"] = page.listed.onPlatformList;
+        if (!page.listed.peersSay.empty())
+            entry["peersSay"] = page.listed.peersSay;
         if (!page.body)
             entry["problem"] = problemOf(page);
         out.push_back(std::move(entry));
@@ -49,68 +61,73 @@
     return out;
 }
 
-result<endpoint> parseEndpoint(const std::string &text, const std::string &where)
-{
-    const auto colon = text.rfind(':');
-    const std::string port = colon == std::string::npos ? "" : text.substr(colon + 1);
-    const bool digits = !port.empty() && port.size() <= 5 &&
-                        std::all_of(port.begin(), port.end(),
-                                    [](unsigned char c) { return c >= '0' && c <= '9'; });
-    const int number = digits ? std::stoi(port) : 0;
-    if (number < 1 || number > 65535) {
-        return failure(error_kind::InvalidArgument,
-                       where + ": found '" + text +
-                               "'; give an address and a port, as 127.0.0.1:7000");
-    }
-    return endpoint{text.substr(0, colon), static_cast<std::uint16_t>(number)};
-}
-
 } // namespace
 
 exit_status operator_commands::fail(const error &e)
 {
-    m_err << "peridotctl: " << e.message << "\n";
+    m_err << "peridotctl: " << e.message;
     switch (e.kind) {
     case error_kind::Conflict:
+        m_err << "\n";
         return exit_status::Conflict;
-    case error_kind::Unavailable:
     case error_kind::OutcomeUnknown:
+        m_err << "; 'peridotctl class list' shows whether it took effect\n";
+        return exit_status::PlatformUnreachable;
+    case error_kind::Unavailable:
     case error_kind::TimedOut:
     case error_kind::Overloaded:
+        m_err << "; try again, or check [platform] address in the settings\n";
         return exit_status::PlatformUnreachable;
     default:
+        m_err << "\n";
         return exit_status::BadInput;
     }
 }
 
-result<std::vector<instance_page>> operator_commands::pages(const std::string &path)
+result<std::vector<listed_page>> operator_commands::pages(const std::string &path)
 {
-    auto members = m_fleet.instances();
-    if (!members)
-        return members.error();
-    auto found = m_fleet.fetch(members.value(), path);
-    for (const auto &page : found) {
-        if (!page.body)
+    auto list = m_directory.read();
+    if (!list)
+        return list.error();
+    if (const auto &problem = list.value().platformProblem) {
+        m_err << "peridotctl: " << problem->message
+              << "; the instances are those that [fallback] operators know of\n";
+    }
+    std::vector<member> members;
+    for (const auto &[id, listed] : list.value().instances)
+        members.push_back(listed.instance);
+    std::vector<listed_page> out;
+    for (auto &page : m_fleet.fetch(members, path)) {
+        const listed_instance &listed = list.value().instances.at(page.id);
+        if (!page.body && !listed.gone()) {
             m_err << "peridotctl: " << page.id << " is " << problemOf(page)
-                  << "; nothing is known of it\n";
+                  << "; nothing is known of it, try again or see whether it runs\n";
+        }
+        out.push_back({std::move(page), listed});
     }
-    return found;
+    return out;
 }
 
-exit_status operator_commands::statusOf(const std::vector<instance_page> &pages)
+exit_status operator_commands::statusOf(const std::vector<listed_page> &pages)
 {
-    const bool all = std::all_of(pages.begin(), pages.end(),
-                                 [](const instance_page &p) { return p.body.has_value(); });
+    const bool all = std::all_of(pages.begin(), pages.end(), [](const listed_page &p) {
+        return p.body.has_value() || p.listed.gone();
+    });
     return all ? exit_status::Done : exit_status::PartialAnswer;
 }
 
+void operator_commands::printJson(const std::vector<listed_page> &pages)
+{
+    m_out << merged(pages).dump(2) << "\n";
+}
+
 exit_status operator_commands::where()
 {
     const auto found = pages("/operator/where");
     if (!found)
         return fail(found.error());
     if (m_json) {
-        m_out << merged(found.value()).dump(2) << "\n";
+        printJson(found.value());
         return statusOf(found.value());
     }
     std::vector<std::vector<std::string>> rows = {
@@ -118,7 +135,7 @@
     for (const auto &page : found.value()) {
         const json p = parsed(page);
         rows.push_back({page.id.value(), page.dataCentre.value(), cell(p, "configurationVersion"),
-                        cell(p, "snapshotVersion"), problemOf(page)});
+                        cell(p, "snapshotVersion"), noteOf(page)});
     }
     m_out << renderTable(rows);
     return statusOf(found.value());
@@ -130,7 +147,7 @@
     if (!found)
         return fail(found.error());
     if (m_json) {
-        m_out << merged(found.value()).dump(2) << "\n";
+        printJson(found.value());
         return statusOf(found.value());
     }
     std::vector<std::vector<std::string>> rows = {
@@ -144,7 +161,7 @@
                         platform == "true"    ? "reachable"
                         : platform == "false" ? "unreachable"
                                               : "?",
-                        cell(p, "servers"), cell(p, "serversLeaving"), members, problemOf(page)});
+                        cell(p, "servers"), cell(p, "serversLeaving"), members, noteOf(page)});
     }
     m_out << renderTable(rows);
     return statusOf(found.value());
@@ -180,6 +197,8 @@
         return fail(found.error());
     std::vector<process_timeline> timelines;
     for (const auto &page : found.value()) {
+        if (!page.body && page.listed.gone())
+            continue;
         process_timeline t;
         t.process = page.id.value();
         t.problem = page.problem;
@@ -206,37 +225,4 @@
     return statusOf(found.value());
 }
 
-result<endpoint> readCtlSettings(const std::string &path)
-{
-    const INIReader reader(path);
-    if (reader.ParseError() != 0) {
-        return failure(error_kind::NotFound,
-                       "settings file '" + path +
-                               "' cannot be read; name one by --settings or PERIDOTCTL_SETTINGS "
-                               "that holds [platform] address = IP:PORT");
-    }
-    return parseEndpoint(reader.Get("platform", "address", ""), path + ": [platform] address");
-}
-
-result<duration> parseDuration(const std::string &text)
-{
-    const std::map<std::string, double> unitsInMs = {{"us", 0.001}, {"ms", 1.0}, {"s", 1000.0}};
-    std::size_t used = 0;
-    double number = 0.0;
-    try {
-        number = std::stod(text, &used);
-    } catch (const std::exception &) {
-        used = 0;
-    }
-    const auto unit = unitsInMs.find(text.substr(used));
-    constexpr double maxMs = 3600.0 * 1000.0;
-    if (used == 0 || unit == unitsInMs.end() || !(number > 0.0) || number * unit->second > maxMs) {
-        return failure(
-                error_kind::InvalidArgument,
-                "found '" + text +
-                        "' as a time; give a positive number with unit, as 140ms, 2s or 500us");
-    }
-    return fromMilliseconds(number * unit->second);
-}
-
 } // namespace peridotwheel
--- a/lib/entry/caller_service.cpp
+++ b/lib/entry/caller_service.cpp
@@ -104,6 +104,9 @@
 
 bool caller_service::ready()
 {
+    m_wasInformed = m_wasInformed || !m_hooks.informed || m_hooks.informed();
+    if (!m_wasInformed)
+        return false;
     if (!m_wasConnected && m_hooks.connected) {
         const bool waitedEnough = m_loop.now() - m_started >= longestConnectWait;
         m_wasConnected = hasState() && (m_hooks.connected() || waitedEnough);
--- a/lib/entry/control_plane.cpp
+++ b/lib/entry/control_plane.cpp
@@ -17,7 +17,9 @@
 control_plane::control_plane(event_loop &loop, blackboard &board, platform_client &platform,
                              http_client &http, counter_set &counters, const event_sink &events,
                              std::uint64_t seed, const member &self, control_plane_options options)
-    : m_membership(loop, board, platform, counters, events, derivedSeed(seed, self, "membership"),
+    : m_loop(loop)
+    , m_longestPeerWait(options.longestPeerWait)
+    , m_membership(loop, board, platform, counters, events, derivedSeed(seed, self, "membership"),
                    self, options.membership)
     , m_configuration(loop, board, platform, counters, events,
                       derivedSeed(seed, self, "configuration"), self, options.watcher)
@@ -32,6 +34,7 @@
 
 void control_plane::start()
 {
+    m_startedAt = m_loop.now();
     m_gossip.start();
     m_configuration.start();
     m_snapshots.start();
@@ -45,6 +48,11 @@
     };
 }
 
+bool control_plane::informed() const
+{
+    return m_gossip.caughtUp() || m_loop.now() - m_startedAt >= m_longestPeerWait;
+}
+
 void control_plane::noteServerLeaving(const server_id &id, start_id start)
 {
     m_membership.noteServerLeaving(id, start);
--- a/lib/entry/entry_instance.cpp
+++ b/lib/entry/entry_instance.cpp
@@ -12,6 +12,7 @@
 #include "peridotwheel/platform/http_platform_client.h"
 #include "peridotwheel/platform/platform_health_tracker.h"
 #include "peridotwheel/platform/watcher_election.h"
+#include "peridotwheel/support/hash.h"
 #include "peridotwheel/support/libevent_loop.h"
 #include "peridotwheel/support/log.h"
 #include "peridotwheel/timeline/event_ring.h"
@@ -20,9 +21,13 @@
 
 namespace {
 
-/// Platform, peers and backend servers draw their own streams of random numbers, so that a change
-/// in one does not shift the others.
-enum seed_offset : std::uint64_t { EngineSeed = 1, AdmissionSeed, ControlSeed, ClaimSeed, IdSeed };
+/// Each component draws its own sequence, so that a change in one does not shift the others. The
+/// instance and its start are part of the seed: instances that were given the same number or
+/// neighbouring ones must not share claim nonces, request ids or the jitter of refusals.
+std::uint64_t derivedSeed(const settings &s, const entry_options &o, std::string_view component)
+{
+    return stableHash(component, stableHash(s.id.value(), o.seed ^ o.start.value()));
+}
 
 http_platform_options platformOptions(const settings &s)
 {
@@ -32,14 +37,25 @@
     return options;
 }
 
+/// Requests of callers that are running or ask for a status page while the queue is full.
+constexpr std::size_t roomBesideQueue = 256;
+
 http_server_limits callerLimits(const settings &s)
 {
     http_server_limits limits;
     limits.maxBodyBytes = s.maxBodyBytes;
     limits.maxConnections = s.maxConnections;
+    limits.maxWaitingRequests = s.maxWaiting + roomBesideQueue;
     return limits;
 }
 
+admission_queue::options admissionOptions(const settings &s, const entry_options &o)
+{
+    admission_queue::options options = o.admission;
+    options.maxQueued = s.maxWaiting;
+    return options;
+}
+
 http_server_limits peerLimits()
 {
     http_server_limits limits;
@@ -121,17 +137,17 @@
 
 entry_instance::parts::parts(libevent_loop &loop, const settings &s, const entry_options &o)
     : events(loop, o.timelineCapacity)
-    , claimRandom(o.seed + ClaimSeed)
+    , claimRandom(derivedSeed(s, o, "claims"))
     , connector(o.makeConnector ? o.makeConnector(loop) : std::make_unique<evhttp_connector>(loop))
     , http(*connector)
     , platform(http, platformOptions(s))
     , health(loop, board, events.sink())
-    , engine(loop, board, *connector, counters, events.sink(), o.seed + EngineSeed, s.id,
+    , engine(loop, board, *connector, counters, events.sink(), derivedSeed(s, o, "engine"), s.id,
              s.dataCentre, o.engine)
     , admission(loop, board, engine,
                 {[this] { return engine.concurrencyLimit(); },
                  [this] { return engine.expectedServiceTime(); }},
-                counters, events.sink(), o.seed + AdmissionSeed, o.admission)
+                counters, events.sink(), derivedSeed(s, o, "admission"), admissionOptions(s, o))
     , claiming(loop, platform, admission, s.id, claimRandom, events.sink(), o.claims)
     , claimLookup(platform)
     , callers(loop, board, claiming,
@@ -140,8 +156,9 @@
                },
                [this] { return engine.connected(); },
                [this](const class_name &name) { return admission.loadOf(name); },
-               [this] { return admission.totalLoad(); }},
-              counters, events.sink(), {s.id, o.seed + IdSeed, {}})
+               [this] { return admission.totalLoad(); },
+               [this] { return control && control->informed(); }},
+              counters, events.sink(), {s.id, derivedSeed(s, o, "request-ids"), {}})
     , callerServer(loop, callerLimits(s),
                    [this](const http_request &request, std::shared_ptr<http_responder> out) {
                        callers.handle(request, std::move(out));
@@ -191,9 +208,9 @@
     self.dataCentre = m_settings.dataCentre;
     self.peers = peersAddress();
     self.operators = operatorsAddress();
-    p.control = std::make_unique<control_plane>(m_loop, p.board, p.platform, p.http, p.counters,
-                                                p.events.sink(), m_options.seed + ControlSeed, self,
-                                                m_options.control);
+    p.control = std::make_unique<control_plane>(
+            m_loop, p.board, p.platform, p.http, p.counters, p.events.sink(),
+            derivedSeed(m_settings, m_options, "control"), self, m_options.control);
     p.operators = std::make_unique<operator_service>(p.board, p.counters, p.events, self);
     p.engine.onServerLeaving = [&p](const server_id &id, start_id start) {
         p.control->noteServerLeaving(id, start);
--- a/lib/entry/operator_service.cpp
+++ b/lib/entry/operator_service.cpp
@@ -100,9 +100,11 @@
     const platform_health &health = m_board.platformHealth.value();
     json members = json::array();
     for (const auto &[id, m] : m_board.members.value()) {
-        members.push_back({{"id", id.value()},
-                           {"dataCentre", m.dataCentre.value()},
-                           {"state", toString(m.state)}});
+        members.push_back(
+                {{"id", id.value()},
+                 {"dataCentre", m.dataCentre.value()},
+                 {"operators", {{"address", m.operators.address}, {"port", m.operators.port}}},
+                 {"state", toString(m.state)}});
     }
     const server_map &servers = m_board.servers.value();
     const auto leaving = std::count_if(servers.begin(), servers.end(),
--- a/lib/peer/peer_gossip.cpp
+++ b/lib/peer/peer_gossip.cpp
@@ -85,6 +85,8 @@
         m_configuration.offer(*message.configuration, message.configurationVersion, source);
     if (message.shardMap)
         m_snapshots.offer(*message.shardMap, message.snapshotVersion, source);
+    m_caughtUp = m_caughtUp || (message.configurationVersion <= m_configuration.version() &&
+                                message.snapshotVersion <= m_snapshots.version());
 }
 
 exchange peer_gossip::answer(const exchange &message)
--- a/tools/peridotctl/main.cpp
+++ b/tools/peridotctl/main.cpp
@@ -1,4 +1,5 @@
 #include "peridotwheel/ctl/commands.h"
+#include "peridotwheel/ctl/ctl_settings.h"
 #include "peridotwheel/support/log.h"
 
 #include <cstdlib>
@@ -177,11 +178,13 @@
         return static_cast<int>(exit_status::BadUse);
     }
     static_cast<void>(configureLogging("error"));
-    const auto platform = readCtlSettings(settingsPath(args));
-    if (!platform)
-        return bad(platform.error().message);
-    fleet_client fleet(platform.value());
-    operator_commands commands(fleet, std::cout, std::cerr, args.at("--json").asBool());
+    const auto settings = readCtlSettings(settingsPath(args));
+    if (!settings)
+        return bad(settings.error().message);
+    libevent_loop loop;
+    fleet_client fleet(loop, settings.value().platform);
+    operator_commands commands(fleet, settings.value().fallback, std::cout, std::cerr,
+                               args.at("--json").asBool());
     try {
         return static_cast<int>(runCommand(commands, args));
     } catch (const std::invalid_argument &e) {
--- /dev/null
+++ b/unittests/entry/readiness_test.cpp
@@ -0,0 +1,32 @@
+#include "fleet_fixture.h"
+
+using namespace peridotwheel;
+
+// Guards against a restarted instance that serves with an older configuration than the one it had
+// in force before, because the platform gave it a stale one.
+TEST(controlPlane, aRestartedInstanceIsInformedOnlyOnceItHoldsWhatItsPeersHold)
+{
+    fleet f(9);
+    const auto v = f.storeConfiguration(140);
+    f.run(10);
+    f.kill(5);
+    f.platform.staleReads = 1.0;
+    f.start(5, 2);
+    const fleet_instance &restarted = *f.instances[5];
+    EXPECT_FALSE(restarted.plane->informed());
+    const duration step = milliseconds(1);
+    for (int i = 0; i < 1900 && !restarted.plane->informed(); ++i)
+        f.loop.advance(step);
+    EXPECT_TRUE(restarted.plane->informed());
+    EXPECT_EQ(restarted.highest, v);
+}
+
+// Guards against an instance that waits for ever for peers that it cannot reach.
+TEST(controlPlane, anInstanceWithoutPeersIsInformedAfterItsWait)
+{
+    fleet f(1);
+    f.loop.advance(milliseconds(1999));
+    EXPECT_FALSE(f.instances[0]->plane->informed());
+    f.loop.advance(milliseconds(1));
+    EXPECT_TRUE(f.instances[0]->plane->informed());
+}
