--- a/include/peridotwheel/ctl/fleet_directory.h
+++ b/include/peridotwheel/ctl/fleet_directory.h
@@ -14,13 +14,15 @@
 struct listed_instance
 {
     member instance;
-    bool onPlatformList = false;
+    /// Empty if the platform's list could not be read.
+    std::optional<bool> onPlatformList;
     /// What a peer believes of it, for example "alive"; empty if no peer that was asked knows it.
     std::string peersSay;
 
     /// True if nobody expects the instance to answer: it has left the platform's list and the
     /// peers take it for gone.
     bool gone() const;
+    bool offPlatformList() const { return onPlatformList && !*onPlatformList; }
 };
 
 /// The page of a listed instance.
--- a/lib/ctl/class_commands.cpp
+++ b/lib/ctl/class_commands.cpp
@@ -109,6 +109,10 @@
 
 exit_status operator_commands::write(const configuration_change &change)
 {
+    // The writer repeats failed calls for many seconds, to settle lost replies. A platform that
+    // does not even answer this read is reported at once, and nothing is written.
+    if (const auto present = readConfiguration(); !present)
+        return fail({present.error().kind, present.error().message + "; nothing was changed"});
     // The seed makes the change id, by which a lost reply is settled, different in every run.
     std::random_device device;
     const std::uint64_t seed = (static_cast<std::uint64_t>(device()) << 32) | device();
--- a/lib/ctl/fleet_commands.cpp
+++ b/lib/ctl/fleet_commands.cpp
@@ -37,10 +37,14 @@
 std::string noteOf(const listed_page &page)
 {
     std::string note = problemOf(page);
-    if (page.listed.onPlatformList)
-        return note;
-    note += note.empty() ? "" : "; ";
-    return note + "not on the platform's list, peers say " + page.listed.peersSay;
+    const auto add = [&note](const std::string &text) {
+        note += (note.empty() ? "" : "; ") + text;
+    };
+    if (page.listed.offPlatformList())
+        add("not on the platform's list");
+    if (page.listed.offPlatformList() || (!page.body && !page.listed.peersSay.empty()))
+        add("peers say " + page.listed.peersSay);
+    return note;
 }
 
 /// One object for each instance, with the page's fields or the problem.
@@ -51,7 +55,8 @@
         json entry = parsed(page);
         entry["instance"] = page.id.value();
         entry["dataCentre"] = page.dataCentre.value();
-        entry["onPlatformList"] = page.listed.onPlatformList;
+        if (page.listed.onPlatformList)
+            entry["onPlatformList"] = *page.listed.onPlatformList;
         if (!page.listed.peersSay.empty())
             entry["peersSay"] = page.listed.peersSay;
         if (!page.body)
--- a/lib/ctl/fleet_directory.cpp
+++ b/lib/ctl/fleet_directory.cpp
@@ -22,6 +22,8 @@
     const json &operators = m.at("operators");
     found.instance.operators = {operators.at("address").get<std::string>(),
                                 operators.at("port").get<std::uint16_t>()};
+    if (!list.platformProblem)
+        found.onPlatformList = false;
     const std::string state = m.at("state").get<std::string>();
     const auto [it, isNew] = list.instances.emplace(found.instance.id, found);
     // Peers may differ; one that holds the instance for alive outweighs the others.
@@ -33,7 +35,7 @@
 
 bool listed_instance::gone() const
 {
-    return !onPlatformList && (peersSay == "dead" || peersSay == "leaving");
+    return offPlatformList() && (peersSay == "dead" || peersSay == "leaving");
 }
 
 fleet_directory::fleet_directory(fleet_client &fleet, std::vector<endpoint> fallback)
@@ -88,7 +90,8 @@
         if (!page.body)
             continue;
         try {
-            for (const auto &m : json::parse(*page.body).at("members"))
+            const json parsed = json::parse(*page.body);
+            for (const auto &m : parsed.at("members"))
                 addMember(m, list);
         } catch (const json::exception &) {
             // An instance of another release; the others know the same members.
--- a/tools/peridotctl/main.cpp
+++ b/tools/peridotctl/main.cpp
@@ -107,25 +107,44 @@
     return spec;
 }
 
+/// An empty filter would let all events pass, as when a script's variable is not set.
+std::string nonEmpty(const arguments &args, const char *option)
+{
+    std::string text = args.at(option).asString();
+    if (text.empty())
+        throw std::invalid_argument(std::string(option) +
+                                    " is empty; give a value or leave it out");
+    return text;
+}
+
+std::string kindNames()
+{
+    std::string names;
+    for (int kind = 0; kind <= static_cast<int>(event_kind::Lifecycle); ++kind)
+        names += std::string(kind == 0 ? " " : ", ") + toString(static_cast<event_kind>(kind));
+    return names;
+}
+
 timeline_filter filterFrom(const arguments &args)
 {
     timeline_filter filter;
     constexpr auto maxMs = std::numeric_limits<std::int64_t>::max();
     if (args.at("--request"))
-        filter.request = request_id(args.at("--request").asString());
+        filter.request = request_id(nonEmpty(args, "--request"));
     if (args.at("--class"))
-        filter.className = class_name(args.at("--class").asString());
+        filter.className = class_name(nonEmpty(args, "--class"));
     if (args.at("--from"))
         filter.from = wall_time(milliseconds(wholeNumber(args, "--from", maxMs)));
     if (args.at("--to"))
         filter.to = wall_time(milliseconds(wholeNumber(args, "--to", maxMs)));
+    if (filter.from && filter.to && *filter.from >= *filter.to)
+        throw std::invalid_argument("--from must be before --to; no event would be shown");
     if (!args.at("--kind"))
         return filter;
     const std::string kind = args.at("--kind").asString();
     const auto known = eventKindFromString(kind);
     if (!known)
-        throw std::invalid_argument("--kind: found '" + kind +
-                                    "'; 'peridotctl timeline' shows the kinds in use");
+        throw std::invalid_argument("--kind: found '" + kind + "'; give one of" + kindNames());
     filter.kinds.insert(*known);
     return filter;
 }
@@ -133,6 +152,8 @@
 exit_status runTimeline(operator_commands &commands, const arguments &args, bool json)
 {
     using format = operator_commands::timeline_format;
+    if (json && args.at("--svg").asBool())
+        throw std::invalid_argument("--json and --svg exclude each other; give one of them");
     const format picture = args.at("--svg").asBool() ? format::Svg : format::Text;
     return commands.timeline(filterFrom(args), json ? format::Json : picture);
 }
--- a/unittests/ctl/operator_commands_test.cpp
+++ b/unittests/ctl/operator_commands_test.cpp
@@ -170,6 +170,7 @@
     fallback = {{"127.0.0.1", a.server.boundPort()}};
     EXPECT_EQ(commands(true).where(), exit_status::Done);
     EXPECT_EQ(printed().size(), 2U);
+    EXPECT_FALSE(printed()[0].contains("onPlatformList")) << "the list was not read";
     EXPECT_NE(err.str().find("[fallback] operators"), std::string::npos);
     EXPECT_EQ(commands().setClass(spec("urgent")), exit_status::PlatformUnreachable);
 }
--- a/unittests/entry/caller_service_test.cpp
+++ b/unittests/entry/caller_service_test.cpp
@@ -95,11 +95,18 @@
     held_executor executor;
     counter_set counters;
     std::function<void(std::optional<query_answer>)> claimAnswer;
-    caller_service service{
-            loop,     board,
-            executor, {[this](const request_id &, auto hook) { claimAnswer = hook; }, {}, {}},
-            counters, {},
-            {}};
+    bool informed = true;
+    caller_service service{loop,
+                           board,
+                           executor,
+                           {[this](const request_id &, auto hook) { claimAnswer = hook; },
+                            {},
+                            {},
+                            {},
+                            [this] { return informed; }},
+                           counters,
+                           {},
+                           {}};
 };
 
 } // namespace
@@ -239,6 +246,18 @@
     EXPECT_EQ(firstLine("/status/class/safety-cards?x=1"), "done");
 }
 
+// Guards against a balancer that sends requests to an instance before it has compared what it holds
+// with a peer, and against one that is taken out again when its peers fail later.
+TEST_F(caller_fixture, readinessWaitsForThePeersOnce)
+{
+    informed = false;
+    EXPECT_EQ(replyTo(http_method::Get, "/ready").status, 503);
+    informed = true;
+    EXPECT_EQ(replyTo(http_method::Get, "/ready").status, 200);
+    informed = false;
+    EXPECT_EQ(replyTo(http_method::Get, "/ready").status, 200);
+}
+
 TEST_F(caller_fixture, drainFailsReadinessButAcceptsRequests)
 {
     EXPECT_EQ(replyTo(http_method::Get, "/ready").status, 200);
