--- a/lib/entry/entry_instance.cpp
+++ b/lib/entry/entry_instance.cpp
@@ -160,8 +160,8 @@
                [this] { return control && control->informed(); }},
               counters, events.sink(), {s.id, derivedSeed(s, o, "request-ids"), {}})
     , callerServer(loop, callerLimits(s),
-                   [this](const http_request &request, std::shared_ptr<http_responder> out) {
-                       callers.handle(request, std::move(out));
+                   [this](const http_request &request, const std::shared_ptr<http_responder> &out) {
+                       callers.handle(request, out);
                    })
     , drain(loop, board,
             {[this] { return callers.inProgress() + claiming.pendingRecords(); },
--- a/unittests/entry/readiness_test.cpp
+++ b/unittests/entry/readiness_test.cpp
@@ -7,6 +7,7 @@
 TEST(controlPlane, aRestartedInstanceIsInformedOnlyOnceItHoldsWhatItsPeersHold)
 {
     fleet f(9);
+    f.storeConfiguration(150);
     const auto v = f.storeConfiguration(140);
     f.run(10);
     f.kill(5);
