--- a/lib/entry/entry_instance.cpp
+++ b/lib/entry/entry_instance.cpp
@@ -26,7 +26,8 @@
 /// neighbouring ones must not share claim nonces, request ids or the jitter of refusals.
 std::uint64_t derivedSeed(const settings &s, const entry_options &o, std::string_view component)
 {
-    return stableHash(component, stableHash(s.id.value(), o.seed ^ o.start.value()));
+    const std::uint64_t start = stableHash(std::to_string(o.start.value()), o.seed);
+    return stableHash(component, stableHash(s.id.value(), start));
 }
 
 http_platform_options platformOptions(const settings &s)
