--- a/unittests/entry/caller_service_test.cpp
+++ b/unittests/entry/caller_service_test.cpp
@@ -100,6 +100,7 @@
     counter_set counters;
     claim_question asked;
     std::function<void(claim_finding)> claimAnswer;
+    bool informed = true;
     caller_service service{loop,
                            board,
                            executor,
@@ -108,7 +109,9 @@
                                 claimAnswer = hook;
                             },
                             {},
-                            {}},
+                            {},
+                            {},
+                            [this] { return informed; }},
                            counters,
                            {},
                            {}};
@@ -279,6 +282,18 @@
     EXPECT_EQ(firstLine("/status/class/safety-cards?x=1"), "done");
 }
 
+// Guards against a balancer that sends requests to an instance before it has compared what it holds
+// with a peer, and against one that is taken out again when its peers fail later.
+TEST_F(caller_fixture, readinessWaitsForThePeersOnce)
+{
+    informed = false;
+    EXPECT_EQ(replyTo(http_method::Get, "/ready").status, 503);
+    informed = true;
+    EXPECT_EQ(replyTo(http_method::Get, "/ready").status, 200);
+    informed = false;
+    EXPECT_EQ(replyTo(http_method::Get, "/ready").status, 200);
+}
+
 TEST_F(caller_fixture, drainFailsReadinessButAcceptsRequests)
 {
     EXPECT_EQ(replyTo(http_method::Get, "/ready").status, 200);
