--- a/include/peridotwheel/entry/control_plane.h
+++ b/include/peridotwheel/entry/control_plane.h
@@ -44,9 +44,9 @@
     /// Removes this instance's record at the platform, as the last step of a shutdown.
     void withdraw(std::function<void()> done = nullptr);
 
-    /// Whether this instance holds what a peer holds, or has waited long enough for one to answer. A
-    /// stale read of the platform may give a restarted instance an older configuration than the one
-    /// that it had in force before.
+    /// Whether this instance holds what a peer holds, or has waited long enough for one to answer.
+    /// A stale read of the platform may give a restarted instance an older configuration than the
+    /// one that it had in force before.
     bool informed() const;
 
     const membership_controller &membership() const { return m_membership; }
--- a/lib/bench/fault_experiments.cpp
+++ b/lib/bench/fault_experiments.cpp
@@ -25,6 +25,7 @@
             byService[config.value().service].push_back(id);
     }
     std::vector<server_id> out;
+    out.reserve(byService.size());
     for (const auto &[service, ids] : byService)
         out.push_back(ids[choice++ % ids.size()]);
     return out;
--- a/lib/bench/throughput_experiment.cpp
+++ b/lib/bench/throughput_experiment.cpp
@@ -97,6 +97,7 @@
             chosen[config.value().service] = config.value().address;
     }
     std::vector<endpoint> out;
+    out.reserve(chosen.size());
     for (const auto &[service, address] : chosen)
         out.push_back(address);
     return out;
