Take the first idle connection of a server

Cause: the pool looked at every connection to find the most recently used idle one, so that the cost of a request grew with the connections of a server.

--- a/lib/limits/server_pool.cpp
+++ b/lib/limits/server_pool.cpp
@@ -99,13 +99,11 @@
 
 server_pool::slot *server_pool::idleSlot() const
 {
-    // The most recently used connection is the least likely to be closed by the server.
-    slot *best = nullptr;
-    for (const auto &s : m_slots) {
-        if (s->idle() && (best == nullptr || s->lastUsed > best->lastUsed))
-            best = s.get();
-    }
-    return best;
+    // The first idle one: work stays on few connections, which the server is the least likely to
+    // close, and the search ends early however many there are.
+    const auto it =
+            std::find_if(m_slots.begin(), m_slots.end(), [](const auto &s) { return s->idle(); });
+    return it == m_slots.end() ? nullptr : it->get();
 }
 
 void server_pool::remove(const slot &s)
