Name lifecycle phases in one place

Cause: the operators' page had its own copy of the names that the status text gives to lifecycle phases; it calls that one now. A pool asks whether any connection is open in place of counting them.

Behaviour is the same.

--- a/lib/entry/operator_service.cpp
+++ b/lib/entry/operator_service.cpp
@@ -2,6 +2,7 @@
 
 #include "peridotwheel/counters/counter_set.h"
 #include "peridotwheel/state/blackboard.h"
+#include "peridotwheel/status/status_text.h"
 #include "peridotwheel/timeline/event_ring.h"
 #include "peridotwheel/timeline/timeline_json.h"
 
@@ -29,21 +30,6 @@
     return "unknown";
 }
 
-const char *toString(lifecycle_phase phase)
-{
-    switch (phase) {
-    case lifecycle_phase::Starting:
-        return "starting";
-    case lifecycle_phase::Serving:
-        return "serving";
-    case lifecycle_phase::Draining:
-        return "draining";
-    case lifecycle_phase::Stopped:
-        return "stopped";
-    }
-    return "unknown";
-}
-
 std::uint64_t currentSnapshot(const blackboard &board)
 {
     const shard_map_ptr &map = board.snapshots.value().current;
@@ -111,7 +97,7 @@
                                        [](const auto &entry) { return entry.second.leaving; });
     const json page = {{"instance", m_self.id.value()},
                        {"dataCentre", m_self.dataCentre.value()},
-                       {"phase", toString(m_board.phase.value().phase)},
+                       {"phase", peridotwheel::toString(m_board.phase.value().phase)},
                        {"platformReachable", health.reachable},
                        {"platformSinceMs", health.since.time_since_epoch().count()},
                        {"servers", servers.size()},
--- a/lib/limits/server_pool.cpp
+++ b/lib/limits/server_pool.cpp
@@ -186,7 +186,7 @@
     m_refusedCap = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(established()));
     m_refusedUntil = now + refusedHold;
     // Attempts that no connection will carry soon are better sent elsewhere.
-    if (established() == 0)
+    if (!connected())
         returnWaiting();
 }
 
