--- a/include/peridotwheel/gateway/gateway.h
+++ b/include/peridotwheel/gateway/gateway.h
@@ -53,7 +53,7 @@
     /// Limits of the configuration in force, or defaults before the first one.
     stream_limits limits() const;
     /// Whether requests can be served: a configuration is in force, and a server is connected for
-    /// most of the services that it names.
+    /// at least half of the services that have any.
     bool isReady() const;
     std::size_t requestsInFlight() const;
 
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -94,16 +94,20 @@
     const gateway_state &s = *m_state;
     if (!s.routes)
         return false;
+    // Services that are configured before their servers start do not count.
+    std::size_t present = 0;
     std::size_t connected = 0;
-    for (const auto &[name, spec] : s.routes->services()) {
-        const auto it = s.groups.find(name);
-        const bool isReachable =
-                it != s.groups.end() &&
-                std::any_of(it->second->servers.begin(), it->second->servers.end(),
+    for (const auto &[name, group] : s.groups) {
+        const auto &servers = group->servers;
+        if (servers.empty() || s.routes->service(name) == nullptr)
+            continue;
+        ++present;
+        const bool isConnected =
+                std::any_of(servers.begin(), servers.end(),
                             [](const auto &server) { return server->isConnected(); });
-        connected += isReachable ? 1 : 0;
+        connected += isConnected ? 1 : 0;
     }
-    return 2 * connected >= s.routes->services().size() && connected > 0;
+    return connected > 0 && 2 * connected >= present;
 }
 
 std::size_t gateway::requestsInFlight() const
