Watch the store with a few instances of each data centre and bound the time of a watch

A watch now lasts less than half of the time that a change may take. Two instances of each data centre watch, the others ask them; more join one by one as a view grows old. A reply from another server, and a configured service without servers, cause the servers to be read again.

--- a/include/peridotwheel/gateway/cluster_view.h
+++ b/include/peridotwheel/gateway/cluster_view.h
@@ -32,6 +32,8 @@
     /// Revision of the store up to which the servers are known.
     object_version serversAt;
     std::vector<platform_object> servers;
+    /// How long ago the store was read for this view.
+    duration age{};
 };
 
 struct cluster_view_hooks
@@ -54,16 +56,24 @@
     /// Reads that fail for longer than this count as an outage.
     static constexpr duration outageAfter = seconds(1);
 
+    /// \p applyWithin bounds the time from a change in the store to its being in force here.
     cluster_view(event_loop &loop, platform_client &store, counter_set &counters,
-                 decision_log &log, std::uint64_t seed, cluster_documents documents,
-                 cluster_view_hooks hooks);
+                 decision_log &log, std::uint64_t seed, duration applyWithin,
+                 cluster_documents documents, cluster_view_hooks hooks);
     cluster_view(const cluster_view &) = delete;
     cluster_view &operator=(const cluster_view &) = delete;
     ~cluster_view();
 
-    void start();
-    /// Takes over what is newer in the view of another instance.
+    /// Watches the store, or leaves that to other instances.
+    void setWatching(bool watching);
+    bool isWatching() const { return m_watching; }
+    /// The servers known here proved to be out of date: reads them again, at most once a second.
+    void refreshServers(const char *reason);
+    /// Takes over what is newer in the view of another instance. Where nothing is newer, the view
+    /// here is as good as the other one.
     void merge(const view_snapshot &other);
+    /// How long ago the store was read for this view, here or at another instance.
+    duration age() const;
     view_snapshot snapshot() const;
     const cluster_documents &documents() const { return m_documents; }
     configuration_version version() const;
@@ -100,6 +110,10 @@
     std::optional<time_point> m_failingSince;
     std::optional<time_point> m_recoveredAt;
     timer m_dropTimer;
+    time_point m_nextRefresh{};
+    time_point m_confirmedAt{};
+    bool m_watching = false;
+    bool m_started = false;
 };
 
 } // namespace peridotwheel
--- a/include/peridotwheel/gateway/gateway.h
+++ b/include/peridotwheel/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "peridotwheel/gateway/wire_dialect.h"
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -48,6 +49,8 @@
     void setServers(const backend_map &servers);
     /// Instances that share the limits of servers and services, this one included.
     void setInstances(std::size_t count);
+    /// \p hook is called when a reply shows that the view of the servers is out of date.
+    void setViewHook(std::function<void()> hook);
     void handle(opaque_request request, std::shared_ptr<client_exchange> client);
 
     /// Limits of the configuration in force, or defaults before the first one.
--- a/include/peridotwheel/gateway/gateway_settings.h
+++ b/include/peridotwheel/gateway/gateway_settings.h
@@ -23,8 +23,12 @@
     endpoint store;
     /// Addresses of some instances, possibly out of date, for a start while the store is away.
     std::vector<endpoint> seeds;
+    /// All instances start together for the first time: the directory of instances fills up only now.
+    bool firstStart = false;
     std::map<data_centre_id, region_id> regions;
     extra_attempt_limits extraAttempts;
+    /// A change of the configuration or of a server has to be in force within this time.
+    duration applyWithin = seconds(3);
     /// The process is killed this long after it was asked to stop.
     duration stopWithin = seconds(6);
     /// Parts of the operators' rules that are in force.
--- a/include/peridotwheel/gateway/route.h
+++ b/include/peridotwheel/gateway/route.h
@@ -64,6 +64,9 @@
 
 using route_ptr = std::shared_ptr<const route>;
 
+/// The services that requests of a route may reach.
+std::vector<service_name> servicesOf(const route &r);
+
 struct service_spec
 {
     /// Path of the health check.
--- a/include/peridotwheel/platform/object_watcher.h
+++ b/include/peridotwheel/platform/object_watcher.h
@@ -54,6 +54,8 @@
 
     /// Starts with one read of all objects.
     void start();
+    /// Reads all objects again at once; a call in flight is given up.
+    void refresh();
     /// Whether this instance watches, or only reads now and then.
     void setActive(bool active);
     bool active() const { return m_active; }
--- a/lib/gateway/cluster_view.cpp
+++ b/lib/gateway/cluster_view.cpp
@@ -9,29 +9,40 @@
 
 namespace {
 
-object_watcher_options watchOptions()
+/// Share of the time that a change may take which one watch waits at most: the store may lose the
+/// answer to a watch, and only its end shows that.
+constexpr double watchShare = 0.45;
+/// Share of that time for which changes are collected before the next watch.
+constexpr double batchShare = 0.08;
+constexpr duration refreshInterval = seconds(1);
+
+object_watcher_options watchOptions(duration applyWithin)
 {
     object_watcher_options o;
+    o.watchWait = fromMilliseconds(toMilliseconds(applyWithin) * watchShare);
     // A change of the configuration has to be in force within seconds, also right after an outage.
     o.retryFirst = milliseconds(150);
-    o.retryMax = milliseconds(800);
-    o.betweenWatches = milliseconds(20);
+    o.retryMax = milliseconds(1200);
+    // Changes often come together; one answer then carries several.
+    o.betweenWatches = fromMilliseconds(toMilliseconds(applyWithin) * batchShare);
+    // Instances that do not watch ask those that do.
+    o.idleRead = std::chrono::hours(24);
     return o;
 }
 
 } // namespace
 
 cluster_view::cluster_view(event_loop &loop, platform_client &store, counter_set &counters,
-                           decision_log &log, std::uint64_t seed, cluster_documents documents,
-                           cluster_view_hooks hooks)
+                           decision_log &log, std::uint64_t seed, duration applyWithin,
+                           cluster_documents documents, cluster_view_hooks hooks)
     : m_loop(loop)
     , m_log(log)
     , m_documents(std::move(documents))
     , m_hooks(std::move(hooks))
     , m_configurationWatch(loop, store, counters, m_documents.configurationKind, seed,
-                           watchOptions(), nullptr)
-    , m_serverWatch(loop, store, counters, m_documents.serverKind, seed + 1, watchOptions(),
-                    nullptr)
+                           watchOptions(applyWithin), nullptr)
+    , m_serverWatch(loop, store, counters, m_documents.serverKind, seed + 1,
+                    watchOptions(applyWithin), nullptr)
 {
     m_configurationWatch.setReadHook([this](const watch_result &read, bool) {
         onReadSucceeded();
@@ -48,14 +59,37 @@
 
 cluster_view::~cluster_view() = default;
 
-void cluster_view::start()
+void cluster_view::setWatching(bool watching)
 {
-    m_configurationWatch.setActive(true);
-    m_serverWatch.setActive(true);
+    if (m_watching == watching)
+        return;
+    m_watching = watching;
+    m_log.state(watching ? "watch_started" : "watch_ended").addMs("view_age_ms", age());
+    m_configurationWatch.setActive(watching);
+    m_serverWatch.setActive(watching);
+    if (m_started || !watching)
+        return;
+    m_started = true;
     m_configurationWatch.start();
     m_serverWatch.start();
 }
 
+duration cluster_view::age() const
+{
+    return m_loop.now() - m_confirmedAt;
+}
+
+void cluster_view::refreshServers(const char *reason)
+{
+    const time_point now = m_loop.now();
+    if (now < m_nextRefresh)
+        return;
+    m_nextRefresh = now + refreshInterval;
+    m_log.state("servers_read_again").add("reason", reason);
+    if (m_watching)
+        m_serverWatch.refresh();
+}
+
 configuration_version cluster_view::version() const
 {
     return m_routes ? m_routes->version() : configuration_version();
@@ -76,6 +110,7 @@
 
 void cluster_view::onReadSucceeded()
 {
+    m_confirmedAt = m_loop.now();
     if (!m_failingSince)
         return;
     const time_point now = m_loop.now();
@@ -100,6 +135,15 @@
     m_configuration = object;
     m_routes = std::make_shared<route_table>(std::move(read).value());
     m_hooks.onRoutes(m_routes);
+    std::set<service_name> present;
+    for (const auto &[id, server] : m_servers)
+        present.insert(server.service);
+    for (const auto &r : m_routes->routes()) {
+        for (const auto &name : servicesOf(*r)) {
+            if (present.count(name) == 0)
+                return refreshServers("a configured service has no servers");
+        }
+    }
 }
 
 void cluster_view::takeServer(const platform_object &object)
@@ -194,6 +238,7 @@
 view_snapshot cluster_view::snapshot() const
 {
     view_snapshot s;
+    s.age = age();
     s.configuration = m_configuration;
     s.serversAt = m_serversAt;
     for (const auto &[name, object] : m_serverObjects)
@@ -203,6 +248,7 @@
 
 void cluster_view::merge(const view_snapshot &other)
 {
+    m_confirmedAt = std::max(m_confirmedAt, m_loop.now() - other.age);
     if (other.configuration)
         onConfiguration(*other.configuration);
     if (other.serversAt <= m_serversAt)
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -48,6 +48,11 @@
     m_state->updateShares();
 }
 
+void gateway::setViewHook(std::function<void()> hook)
+{
+    m_state->onOutdatedView = std::move(hook);
+}
+
 void gateway::handle(opaque_request request, std::shared_ptr<client_exchange> client)
 {
     gateway_state &s = *m_state;
--- a/lib/gateway/gateway_instance.cpp
+++ b/lib/gateway/gateway_instance.cpp
@@ -34,6 +34,15 @@
     return o;
 }
 
+member selfFrom(const gateway_settings &s)
+{
+    member m;
+    m.id = s.id;
+    m.dataCentre = s.dataCentre;
+    m.peers = s.peers;
+    return m;
+}
+
 } // namespace
 
 class gateway_instance::impl
@@ -82,13 +91,17 @@
     , m_serverConnector(loop, maxServerReplyBytes, idle_probing::Off)
     , m_gateway(loop, m_serverConnector, environment.dialect, m_counters, log,
                 optionsFrom(m_settings))
-    , m_directory(loop, environment.store, log, m_settings.id, m_settings.peers, seed,
-                  [this](std::size_t count) { m_gateway.setInstances(count); })
-    , m_view(loop, environment.store, m_counters, log, seed, std::move(environment.documents),
+    , m_directory(loop, environment.store, log, selfFrom(m_settings), seed,
+                  [this](const member_map &members) {
+                      m_gateway.setInstances(members.size());
+                      m_exchange.setMembers(members);
+                  })
+    , m_view(loop, environment.store, m_counters, log, seed, m_settings.applyWithin,
+             std::move(environment.documents),
              {[this](route_table_ptr routes) { m_gateway.setRoutes(std::move(routes)); },
               [this](const backend_map &servers) { m_gateway.setServers(servers); }})
-    , m_exchange(loop, m_view, environment.http, log, seed,
-                 [this] { return m_directory.addresses(m_settings.seeds); })
+    , m_exchange(loop, m_view, environment.http, log, seed, selfFrom(m_settings),
+                 m_settings.applyWithin)
     , m_callers(
               loop, [this] { return m_gateway.limits(); },
               [this](opaque_request request, std::shared_ptr<client_exchange> client) {
@@ -114,13 +127,14 @@
 
 result<void> gateway_instance::impl::start()
 {
+    m_gateway.setViewHook([this] { m_view.refreshServers("an address has another server"); });
     BOOST_OUTCOME_TRYV(m_callers.listen(m_settings.callers));
     BOOST_OUTCOME_TRYV(m_readiness.listen(m_settings.readiness));
     BOOST_OUTCOME_TRYV(m_metrics.listen(m_settings.metrics));
     BOOST_OUTCOME_TRYV(m_peers.listen(m_settings.peers));
     m_log.state("started").add("data_centre", m_settings.dataCentre.value());
-    m_view.start();
-    m_directory.start();
+    m_exchange.setSeeds(m_settings.seeds);
+    m_directory.start(m_settings.firstStart);
     m_exchange.start();
     return success();
 }
@@ -186,6 +200,7 @@
         return;
     }
     m_settings.seeds = settings.value().seeds;
+    m_exchange.setSeeds(m_settings.seeds);
     m_settings.stopWithin = settings.value().stopWithin;
     m_log.state("reloaded").add("seeds", static_cast<std::int64_t>(m_settings.seeds.size()));
 }
--- a/lib/gateway/gateway_settings.cpp
+++ b/lib/gateway/gateway_settings.cpp
@@ -94,6 +94,16 @@
         return fallback;
     }
 
+    bool flag(const std::string &key)
+    {
+        const auto it = m_values.find(key);
+        if (it == m_values.end() || it->second.empty() || it->second == "false")
+            return false;
+        if (it->second != "true")
+            note(key, it->second, "is neither 'true' nor 'false'; write one of them");
+        return true;
+    }
+
     std::vector<std::string> list(const std::string &key)
     {
         const auto it = m_values.find(key);
@@ -158,6 +168,7 @@
     s.metrics = reader.address("listen.metrics");
     s.store = reader.address("store.address");
     s.seeds = reader.addresses("peers.seeds");
+    s.firstStart = reader.flag("instance.first_start");
     s.contracts = reader.list("rules.contracts");
     for (const auto &[dataCentre, region] : reader.section("regions"))
         s.regions[data_centre_id(dataCentre)] = region_id(region);
@@ -170,6 +181,11 @@
                                                      toMilliseconds(fallback) / 1000));
     };
     extra.window = secondsOf("extra_attempts.window_seconds", extra.window);
+    const auto millisecondsOf = [&](const char *key, duration fallback) {
+        return fromMilliseconds(reader.number(key, 1, 1000 * maxSeconds, toMilliseconds(fallback)));
+    };
+    s.applyWithin = std::min(millisecondsOf("changes.configuration_within_ms", s.applyWithin),
+                             millisecondsOf("changes.drain_within_ms", s.applyWithin));
     s.stopWithin = secondsOf("shutdown.killed_after_seconds", s.stopWithin);
     if (reader.problem())
         return failure(error_kind::InvalidArgument, *reader.problem());
--- a/lib/gateway/gateway_state.cpp
+++ b/lib/gateway/gateway_state.cpp
@@ -135,8 +135,13 @@
     for (const auto &[id, record] : records) {
         backend_server_ptr &server = servers[id];
         if (server) {
-            if (server->record() != record)
-                server->update(record);
+            if (server->record() == record)
+                continue;
+            log.state("server_changed")
+                    .add("server", id.value())
+                    .add("service", record.service.value())
+                    .add("draining", record.draining ? "yes" : "no");
+            server->update(record);
             continue;
         }
         server = makeServer(record);
--- a/lib/gateway/gateway_state.h
+++ b/lib/gateway/gateway_state.h
@@ -77,6 +77,8 @@
     gateway_options options;
     route_table_ptr routes;
     std::size_t instances = 1;
+    /// A reply has shown that the view of the servers is out of date.
+    std::function<void()> onOutdatedView;
     std::map<service_name, service_group_ptr> groups;
     std::map<server_id, backend_server_ptr> servers;
     /// Servers that left the view and may still have attempts on their way.
--- a/lib/gateway/instance_directory.cpp
+++ b/lib/gateway/instance_directory.cpp
@@ -4,7 +4,7 @@
 #include "peridotwheel/support/bounded_json.h"
 #include "peridotwheel/support/endpoint_text.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace peridotwheel {
 
@@ -12,44 +12,59 @@
 
 constexpr const char *instanceKind = "instances";
 constexpr const char *peersField = "peers";
+constexpr const char *dataCentreField = "dataCentre";
 /// Instances are replaced now and then; shares may be this old. Each read is a priced call.
-constexpr duration readInterval = seconds(15);
-/// Right after a start the others may still be entering.
-constexpr duration firstReadInterval = seconds(3);
-constexpr duration retryDelay = seconds(2);
+constexpr duration readInterval = seconds(30);
+/// Instances that start together have entered after the first time, or after the second one.
+constexpr duration firstRead = milliseconds(800);
+constexpr duration secondRead = seconds(4);
+constexpr duration retryDelay = seconds(1);
 
-std::optional<endpoint> peersOf(const platform_object &object)
+std::string textOf(const nlohmann::json &j, const char *field)
+{
+    const auto it = j.find(field);
+    return it != j.end() && it->is_string() ? it->get<std::string>() : "";
+}
+
+std::optional<member> memberOf(const platform_object &object)
 {
     const auto document = parseBoundedJson(object.value);
     if (!document || !document.value().is_object())
         return std::nullopt;
-    const auto it = document.value().find(peersField);
-    if (it == document.value().end() || !it->is_string())
+    const auto peers = parseEndpoint(textOf(document.value(), peersField));
+    if (!peers)
         return std::nullopt;
-    return parseEndpoint(it->get<std::string>());
+    member m;
+    m.id = instance_id(object.key.name);
+    m.dataCentre = data_centre_id(textOf(document.value(), dataCentreField));
+    m.peers = *peers;
+    return m;
 }
 
 } // namespace
 
 instance_directory::instance_directory(event_loop &loop, platform_client &store, decision_log &log,
-                                       instance_id id, endpoint peers, std::uint64_t seed,
-                                       std::function<void(std::size_t)> onCount)
+                                       member self, std::uint64_t seed,
+                                       std::function<void(const member_map &)> onMembers)
     : m_loop(loop)
     , m_store(store)
     , m_log(log)
-    , m_id(std::move(id))
-    , m_peers(std::move(peers))
+    , m_self(std::move(self))
     , m_random(seed)
-    , m_onCount(std::move(onCount))
+    , m_onMembers(std::move(onMembers))
 {
+    m_members.emplace(m_self.id, m_self);
 }
 
 instance_directory::~instance_directory() = default;
 
-void instance_directory::start()
+void instance_directory::start(bool firstStart)
 {
     enter();
-    again(milliseconds(500), [this] { readAll(); }, m_readTimer);
+    if (firstStart)
+        again(firstRead, [this] { readAll(); }, m_readTimer);
+    else
+        readAll();
 }
 
 void instance_directory::again(duration delay, event_loop::task next, timer &slot)
@@ -61,8 +76,9 @@
 
 void instance_directory::enter()
 {
-    const nlohmann::json spec{{peersField, endpointText(m_peers)}};
-    m_store.put({instanceKind, m_id.value()}, spec.dump(), write_condition::absent(),
+    const nlohmann::json spec{{peersField, endpointText(m_self.peers)},
+                              {dataCentreField, m_self.dataCentre.value()}};
+    m_store.put({instanceKind, m_self.id.value()}, spec.dump(), write_condition::absent(),
                 [this, alive = std::weak_ptr<int>(m_alive)](const result<object_version> &written) {
                     if (!alive.expired())
                         onEntered(written);
@@ -98,18 +114,20 @@
         again(retryDelay, [this] { readAll(); }, m_readTimer);
         return;
     }
-    const bool isFirst = m_others.empty();
-    m_others.clear();
+    m_isKnown = true;
+    m_members.clear();
+    m_members.emplace(m_self.id, m_self);
     for (const auto &object : read.value().changed) {
-        if (object.key.name == m_id.value()) {
+        if (object.key.name == m_self.id.value()) {
             m_own = object.version;
             continue;
         }
-        if (const auto peers = peersOf(object))
-            m_others.emplace(instance_id(object.key.name), *peers);
+        if (auto m = memberOf(object))
+            m_members.emplace(m->id, std::move(*m));
     }
-    m_onCount(m_others.size() + 1);
-    again(isFirst ? firstReadInterval : readInterval, [this] { readAll(); }, m_readTimer);
+    m_onMembers(m_members);
+    again(std::exchange(m_readAgain, false) ? secondRead : readInterval, [this] { readAll(); },
+          m_readTimer);
 }
 
 void instance_directory::leave()
@@ -118,22 +136,9 @@
     m_readTimer.cancel();
     if (!m_own)
         return;
-    m_store.remove({instanceKind, m_id.value()}, *m_own, [](const result<void> &) {
+    m_store.remove({instanceKind, m_self.id.value()}, *m_own, [](const result<void> &) {
         // An entry that stays only makes the others' shares smaller.
     });
 }
 
-std::vector<endpoint> instance_directory::addresses(const std::vector<endpoint> &seeds) const
-{
-    std::vector<endpoint> out;
-    for (const auto &[id, peers] : m_others)
-        out.push_back(peers);
-    for (const auto &seed : seeds) {
-        const bool isKnown = std::find(out.begin(), out.end(), seed) != out.end();
-        if (!isKnown && seed != m_peers)
-            out.push_back(seed);
-    }
-    return out;
-}
-
 } // namespace peridotwheel
--- a/lib/gateway/instance_directory.h
+++ b/lib/gateway/instance_directory.h
@@ -1,16 +1,14 @@
 #ifndef PERIDOTWHEEL_LIB_GATEWAY_INSTANCE_DIRECTORY_H
 #define PERIDOTWHEEL_LIB_GATEWAY_INSTANCE_DIRECTORY_H
 
+#include "peridotwheel/membership/member.h"
 #include "peridotwheel/platform/platform_client.h"
 #include "peridotwheel/support/event_loop.h"
 #include "peridotwheel/support/random_source.h"
 
-#include <cstddef>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
-#include <vector>
 
 namespace peridotwheel {
 
@@ -24,18 +22,21 @@
 class instance_directory
 {
 public:
-    instance_directory(event_loop &loop, platform_client &store, decision_log &log, instance_id id,
-                       endpoint peers, std::uint64_t seed,
-                       std::function<void(std::size_t)> onCount);
+    /// \p onMembers is called with all members, this one included, after each successful read.
+    instance_directory(event_loop &loop, platform_client &store, decision_log &log, member self,
+                       std::uint64_t seed, std::function<void(const member_map &)> onMembers);
     instance_directory(const instance_directory &) = delete;
     instance_directory &operator=(const instance_directory &) = delete;
     ~instance_directory();
 
-    void start();
+    /// With \p firstStart, the others enter only now, and are read after a short while.
+    void start(bool firstStart);
     /// Removes the own object; nothing follows if that fails.
     void leave();
-    /// Where other instances answer, those known from the store first, then \p seeds.
-    std::vector<endpoint> addresses(const std::vector<endpoint> &seeds) const;
+    const member &self() const { return m_self; }
+    const member_map &members() const { return m_members; }
+    /// Whether the store has been read at least once.
+    bool isKnown() const { return m_isKnown; }
 
 private:
     void enter();
@@ -47,11 +48,12 @@
     event_loop &m_loop;
     platform_client &m_store;
     decision_log &m_log;
-    instance_id m_id;
-    endpoint m_peers;
+    member m_self;
     random_source m_random;
-    std::function<void(std::size_t)> m_onCount;
-    std::map<instance_id, endpoint> m_others;
+    std::function<void(const member_map &)> m_onMembers;
+    member_map m_members;
+    bool m_isKnown = false;
+    bool m_readAgain = true;
     std::optional<object_version> m_own;
     timer m_enterTimer;
     timer m_readTimer;
--- a/lib/gateway/route_table.cpp
+++ b/lib/gateway/route_table.cpp
@@ -28,6 +28,17 @@
 
 } // namespace
 
+std::vector<service_name> servicesOf(const route &r)
+{
+    if (r.gather)
+        return r.gather->shards;
+    std::vector<service_name> out;
+    out.reserve(r.services.size());
+    for (const auto &part : r.services)
+        out.push_back(part.service);
+    return out;
+}
+
 route_table::route_table(route_configuration configuration)
     : m_configuration(std::move(configuration))
 {
--- a/lib/gateway/running_request.cpp
+++ b/lib/gateway/running_request.cpp
@@ -223,6 +223,8 @@
         what = "attempt_lost";
     m_story.add(now, what, p.group->name.value(), server->record().id.value(),
                 isReply ? result.reply.status : 0);
+    if (isReply && result.verdict == reply_verdict::WrongServer && m_state.onOutdatedView)
+        m_state.onOutdatedView();
     if (isReply && result.verdict == reply_verdict::Failure)
         p.failure = std::move(result.reply);
     if (p.live.empty())
--- a/lib/gateway/view_codec.cpp
+++ b/lib/gateway/view_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "peer_types.h"
 
+#include <algorithm>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
@@ -73,6 +74,7 @@
 std::string encodeSnapshot(const view_snapshot &snapshot)
 {
     wire::ViewReply out;
+    out.ageMs = std::chrono::duration_cast<milliseconds>(snapshot.age).count();
     if (snapshot.configuration)
         out.__set_configuration(toWire(*snapshot.configuration));
     if (snapshot.serversAt.value() != 0)
@@ -87,6 +89,7 @@
 {
     BOOST_OUTCOME_TRY(in, decode<wire::ViewReply>(text));
     view_snapshot out;
+    out.age = milliseconds(std::max<std::int64_t>(in.ageMs, 0));
     if (in.__isset.configuration)
         out.configuration = fromWire(in.configuration, configurationKind);
     if (in.__isset.serversAt)
--- a/lib/gateway/view_exchange.cpp
+++ b/lib/gateway/view_exchange.cpp
@@ -2,27 +2,34 @@
 
 #include "peridotwheel/gateway/decision_log.h"
 #include "view_codec.h"
+#include "watch_duty.h"
+
+#include <algorithm>
 
 namespace peridotwheel {
 
 namespace {
 
 constexpr const char *viewPath = "/peer/view";
-/// A change has to be in force within seconds, through one or two instances in between.
+/// A change has to be in force within seconds, of which the watcher uses more than half.
 constexpr duration askInterval = milliseconds(400);
+/// Without any view nothing can be served.
+constexpr duration firstAskInterval = milliseconds(100);
 constexpr duration askTimeout = milliseconds(600);
 
 } // namespace
 
 view_exchange::view_exchange(event_loop &loop, cluster_view &view, http_client &http,
-                             decision_log &log, std::uint64_t seed,
-                             std::function<std::vector<endpoint>()> addresses)
+                             decision_log &log, std::uint64_t seed, member self,
+                             duration staleAfter)
     : m_loop(loop)
     , m_view(view)
     , m_http(http)
     , m_log(log)
     , m_random(seed)
-    , m_addresses(std::move(addresses))
+    , m_self(std::move(self))
+    , m_staleAfter(staleAfter)
+    , m_startedAt(loop.now())
 {
 }
 
@@ -33,39 +40,97 @@
     step();
 }
 
-void view_exchange::step()
+void view_exchange::setMembers(const member_map &members)
 {
-    if (m_view.storeIsAway()) {
-        const auto addresses = m_addresses();
-        // Two at once, since one of them may be cut off as well.
-        if (!addresses.empty()) {
-            const std::size_t first = m_random.below(addresses.size());
-            ask(addresses[first]);
-            if (addresses.size() > 1)
-                ask(addresses[(first + 1 + m_random.below(addresses.size() - 1)) %
-                              addresses.size()]);
+    m_members = members;
+    m_knowsMembers = true;
+    m_homeWatchers.clear();
+    m_otherWatchers.clear();
+    m_everybody.clear();
+    std::map<data_centre_id, bool> seen;
+    for (const auto &[id, m] : members) {
+        if (id != m_self.id)
+            m_everybody.push_back(m.peers);
+        if (!seen.emplace(m.dataCentre, true).second)
+            continue;
+        const bool isHome = m.dataCentre == m_self.dataCentre;
+        for (const auto &watcher : watchersOf(members, m.dataCentre)) {
+            if (watcher.id != m_self.id)
+                (isHome ? m_homeWatchers : m_otherWatchers).push_back(watcher.peers);
         }
     }
-    m_timer = m_loop.schedule(askInterval, [this] { step(); });
+    step();
+}
+
+void view_exchange::decideDuty()
+{
+    watch_duty_input input{m_members, m_self};
+    input.knowsMembers = m_knowsMembers;
+    input.sinceStart = m_loop.now() - m_startedAt;
+    // A new instance has no view yet; its watchers get the same time as for a change.
+    input.viewAge = std::min(m_view.age(), input.sinceStart);
+    input.staleAfter = m_staleAfter;
+    m_view.setWatching(shouldWatch(input));
+}
+
+void view_exchange::step()
+{
+    decideDuty();
+    if (!m_view.isWatching()) {
+        askHome();
+        if (m_homeFails || m_homeWatchers.empty())
+            askElsewhere();
+    } else if (m_view.storeIsAway()) {
+        askElsewhere();
+    }
+    const bool knowsNothing = m_view.version().value() == 0;
+    m_timer = m_loop.schedule(knowsNothing ? firstAskInterval : askInterval, [this] { step(); });
 }
 
-void view_exchange::ask(const endpoint &to)
+endpoint view_exchange::pick(const std::vector<endpoint> &from)
 {
+    return from[m_random.below(from.size())];
+}
+
+void view_exchange::askHome()
+{
+    if (!m_homeWatchers.empty())
+        ask(m_homeWatchers[m_turn++ % m_homeWatchers.size()], true);
+}
+
+void view_exchange::askElsewhere()
+{
+    // Watchers are the likeliest to know; anybody else may reach one that this instance does not.
+    if (!m_otherWatchers.empty())
+        ask(pick(m_otherWatchers), false);
+    if (!m_everybody.empty())
+        ask(pick(m_everybody), false);
+    else if (!m_seeds.empty())
+        ask(pick(m_seeds), false);
+}
+
+void view_exchange::ask(const endpoint &to, bool isHome)
+{
+    if (to == m_self.peers)
+        return;
     http_request request;
     request.method = http_method::Post;
     request.path = viewPath;
     request.body = encodePosition({m_view.version(), m_view.serversAt()});
     m_http.send(to, request, askTimeout,
-                [this, to, alive = std::weak_ptr<int>(m_alive)](const http_outcome &outcome) {
+                [this, to, isHome, alive = std::weak_ptr<int>(m_alive)](
+                        const http_outcome &outcome) {
                     if (!alive.expired())
-                        onReply(to, outcome);
+                        onReply(to, isHome, outcome);
                 });
 }
 
-void view_exchange::onReply(const endpoint &from, const http_outcome &outcome)
+void view_exchange::onReply(const endpoint &from, bool isHome, const http_outcome &outcome)
 {
     constexpr int ok = 200;
-    if (!outcome.ok() || outcome.reply.status != ok) {
+    const bool answered = outcome.ok() && outcome.reply.status == ok;
+    if (!answered) {
+        m_homeFails = m_homeFails || isHome;
         m_log.decision("peer_not_answering").add("address", from.address);
         return;
     }
@@ -76,6 +141,8 @@
         m_log.decision("peer_view_refused").add("reason", read.error().message);
         return;
     }
+    if (isHome)
+        m_homeFails = read.value().age > m_staleAfter;
     m_view.merge(read.value());
 }
 
--- a/lib/gateway/view_exchange.h
+++ b/lib/gateway/view_exchange.h
@@ -4,9 +4,9 @@
 #include "peridotwheel/gateway/cluster_view.h"
 #include "peridotwheel/http/http_client.h"
 #include "peridotwheel/http/stream_server.h"
+#include "peridotwheel/membership/member.h"
 #include "peridotwheel/support/random_source.h"
 
-#include <functional>
 #include <memory>
 #include <vector>
 
@@ -14,31 +14,50 @@
 
 class decision_log;
 
-/// Asks other instances for newer objects while the store does not answer here, and answers them.
+/// Keeps the view of this instance fresh: by watching the store, or by asking an instance of the
+/// same data centre that does, or any other one while those do not answer.
 class view_exchange
 {
 public:
-    /// \p addresses names the instances that can be asked.
+    /// \p staleAfter is the age of the view beyond which the present watchers do not suffice.
     view_exchange(event_loop &loop, cluster_view &view, http_client &http, decision_log &log,
-                  std::uint64_t seed, std::function<std::vector<endpoint>()> addresses);
+                  std::uint64_t seed, member self, duration staleAfter);
     view_exchange(const view_exchange &) = delete;
     view_exchange &operator=(const view_exchange &) = delete;
     ~view_exchange();
 
     void start();
+    /// Addresses to ask before the members are known.
+    void setSeeds(std::vector<endpoint> seeds) { m_seeds = std::move(seeds); }
+    void setMembers(const member_map &members);
     void answer(const opaque_request &request, client_exchange &client) const;
 
 private:
     void step();
-    void ask(const endpoint &to);
-    void onReply(const endpoint &from, const http_outcome &outcome);
+    void decideDuty();
+    void askHome();
+    void askElsewhere();
+    void ask(const endpoint &to, bool isHome);
+    void onReply(const endpoint &from, bool isHome, const http_outcome &outcome);
+    endpoint pick(const std::vector<endpoint> &from);
 
     event_loop &m_loop;
     cluster_view &m_view;
     http_client &m_http;
     decision_log &m_log;
     random_source m_random;
-    std::function<std::vector<endpoint>()> m_addresses;
+    member m_self;
+    duration m_staleAfter;
+    time_point m_startedAt;
+    std::vector<endpoint> m_seeds;
+    member_map m_members;
+    bool m_knowsMembers = false;
+    /// Watchers of the own data centre, those of others, and everybody else.
+    std::vector<endpoint> m_homeWatchers;
+    std::vector<endpoint> m_otherWatchers;
+    std::vector<endpoint> m_everybody;
+    std::size_t m_turn = 0;
+    bool m_homeFails = false;
     timer m_timer;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
--- a/lib/peer/gen/peer_types.cpp
+++ b/lib/peer/gen/peer_types.cpp
@@ -2245,6 +2245,10 @@
 void ViewReply::__set_servers(const std::vector<ViewObject> & val) {
   this->servers = val;
 }
+
+void ViewReply::__set_ageMs(const int64_t val) {
+  this->ageMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const ViewReply& obj)
 {
   obj.printTo(out);
@@ -2265,6 +2269,7 @@
   using ::apache::thrift::protocol::TProtocolException;
 
   bool isset_servers = false;
+  bool isset_ageMs = false;
 
   while (true)
   {
@@ -2310,6 +2315,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMs);
+          isset_ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2321,6 +2334,8 @@
 
   if (!isset_servers)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_ageMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -2351,6 +2366,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2361,6 +2380,7 @@
   swap(a.configuration, b.configuration);
   swap(a.serversAt, b.serversAt);
   swap(a.servers, b.servers);
+  swap(a.ageMs, b.ageMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -2368,12 +2388,14 @@
   configuration = other70.configuration;
   serversAt = other70.serversAt;
   servers = other70.servers;
+  ageMs = other70.ageMs;
   __isset = other70.__isset;
 }
 ViewReply& ViewReply::operator=(const ViewReply& other71) {
   configuration = other71.configuration;
   serversAt = other71.serversAt;
   servers = other71.servers;
+  ageMs = other71.ageMs;
   __isset = other71.__isset;
   return *this;
 }
@@ -2383,6 +2405,7 @@
   out << "configuration="; (__isset.configuration ? (out << to_string(configuration)) : (out << "<null>"));
   out << ", " << "serversAt="; (__isset.serversAt ? (out << to_string(serversAt)) : (out << "<null>"));
   out << ", " << "servers=" << to_string(servers);
+  out << ", " << "ageMs=" << to_string(ageMs);
   out << ")";
 }
 
--- a/lib/peer/gen/peer_types.h
+++ b/lib/peer/gen/peer_types.h
@@ -760,13 +760,15 @@
   ViewReply(const ViewReply&);
   ViewReply& operator=(const ViewReply&);
   ViewReply() noexcept
-            : serversAt(0) {
+            : serversAt(0),
+              ageMs(0) {
   }
 
   virtual ~ViewReply() noexcept;
   ViewObject configuration;
   int64_t serversAt;
   std::vector<ViewObject>  servers;
+  int64_t ageMs;
 
   _ViewReply__isset __isset;
 
@@ -776,6 +778,8 @@
 
   void __set_servers(const std::vector<ViewObject> & val);
 
+  void __set_ageMs(const int64_t val);
+
   bool operator == (const ViewReply & rhs) const
   {
     if (__isset.configuration != rhs.__isset.configuration)
@@ -788,6 +792,8 @@
       return false;
     if (!(servers == rhs.servers))
       return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
     return true;
   }
   bool operator != (const ViewReply &rhs) const {
--- a/lib/platform/object_watcher.cpp
+++ b/lib/platform/object_watcher.cpp
@@ -38,6 +38,15 @@
         again(duration::zero());
 }
 
+void object_watcher::refresh()
+{
+    if (!m_started)
+        return;
+    m_listed = false;
+    m_timer.cancel();
+    readAll();
+}
+
 void object_watcher::step()
 {
     if (m_active && m_listed)
--- a/proto/peer.thrift
+++ b/proto/peer.thrift
@@ -105,4 +105,6 @@
   1: optional ViewObject configuration
   2: optional i64 serversAt
   3: required list<ViewObject> servers
+  // Milliseconds since the store was read for this view.
+  4: required i64 ageMs
 }
