--- /dev/null
+++ b/unittests/gateway/decisions_test.cpp
@@ -0,0 +1,290 @@
+#include "peridotwheel/gateway/answer_policy.h"
+#include "peridotwheel/gateway/extra_attempts.h"
+#include "peridotwheel/gateway/placement.h"
+#include "peridotwheel/gateway/route.h"
+#include "peridotwheel/gateway/server_health.h"
+#include "peridotwheel/support/random_source.h"
+
+#include <deque>
+#include <gtest/gtest.h>
+
+using namespace peridotwheel;
+
+namespace {
+
+const time_point start{seconds(1000)};
+
+/// Servers at the distances of three regions that have answered a few requests in 10 ms.
+class placement_load : public testing::Test
+{
+protected:
+    placement_load()
+    {
+        for (const int ms : {1, 24, 26}) {
+            health.emplace_back(milliseconds(ms), start);
+            health.back().onConnected(milliseconds(ms));
+        }
+        for (auto &h : health) {
+            for (int i = 0; i < 10; ++i)
+                serve(h, work);
+        }
+    }
+
+    void serve(server_health &h, duration took)
+    {
+        h.onSent(now);
+        const time_point sentAt = now;
+        now += h.distance() + took;
+        h.onReply(sentAt, work, now);
+    }
+
+    std::optional<placement> choose()
+    {
+        std::vector<placement_candidate> candidates;
+        for (const auto &h : health) {
+            placement_candidate c;
+            c.health = &h;
+            c.slots = 2;
+            candidates.push_back(c);
+        }
+        return chooseServer(candidates, work, now);
+    }
+
+    static constexpr duration work = milliseconds(10);
+    time_point now = start;
+    std::deque<server_health> health;
+};
+
+route_ptr routeFor(const std::string &host, const std::string &prefix)
+{
+    auto r = std::make_shared<route>();
+    r->name = route_name(host + prefix);
+    r->host = host;
+    r->prefix = prefix;
+    return r;
+}
+
+request_times usualTimes()
+{
+    return {start, start + milliseconds(136), start + milliseconds(2400)};
+}
+
+} // namespace
+
+TEST_F(placement_load, prefersTheNearServer)
+{
+    EXPECT_EQ(choose()->index, 0U);
+}
+
+// A server that is silent for longer than its work takes is in a pause: others are quicker.
+TEST_F(placement_load, avoidsAServerInItsPause)
+{
+    health[0].onSent(now);
+    now += milliseconds(60);
+    EXPECT_EQ(choose()->index, 1U);
+    EXPECT_FALSE(choose()->doubtful);
+}
+
+// Pauses are normal: after the late reply the near server is used again.
+TEST_F(placement_load, returnsAfterThePause)
+{
+    serve(health[0], milliseconds(200));
+    for (int i = 0; i < 3; ++i)
+        serve(health[0], work);
+    now += seconds(2);
+    EXPECT_EQ(choose()->index, 0U);
+}
+
+TEST_F(placement_load, avoidsASlowServerAndTriesItAgainLater)
+{
+    for (int i = 0; i < 5; ++i)
+        serve(health[0], 8 * work);
+    EXPECT_EQ(choose()->index, 1U);
+    now += seconds(30);
+    EXPECT_EQ(choose()->index, 0U);
+}
+
+// A server that fails at once looks idle; its errors must count against it.
+TEST_F(placement_load, avoidsAServerThatFailsFast)
+{
+    for (int i = 0; i < 10; ++i) {
+        health[0].onSent(now);
+        health[0].onFailed(now, now + milliseconds(2));
+        now += milliseconds(20);
+    }
+    EXPECT_EQ(choose()->index, 1U);
+}
+
+TEST_F(placement_load, callsASilentServerDoubtful)
+{
+    for (auto &h : health)
+        h.onSent(now);
+    now += seconds(1);
+    EXPECT_TRUE(choose()->doubtful);
+}
+
+// A suspect must not be forgiven because its attempts were given up.
+TEST_F(placement_load, remembersASilentServerWhoseAttemptsWereGivenUp)
+{
+    health[0].onSent(now);
+    const time_point sentAt = now;
+    now += seconds(1);
+    health[0].onAbandoned(sentAt, toleratedSilence(health[0].distance(), work), now);
+    EXPECT_TRUE(health[0].isSuspect());
+    EXPECT_NE(choose()->index, 0U);
+    health[0].onHealthy(now);
+    EXPECT_EQ(choose()->index, 0U);
+}
+
+// One lost answer among good ones is a failure of that answer, not the silence of the server.
+TEST_F(placement_load, keepsTrustInAServerThatAnswersOthers)
+{
+    health[0].onSent(now);
+    const time_point lost = now;
+    now += milliseconds(500);
+    serve(health[0], work);
+    now += milliseconds(20);
+    health[0].onAbandoned(lost, toleratedSilence(health[0].distance(), work), now);
+    EXPECT_FALSE(health[0].isSuspect());
+}
+
+// The silence of a stopped process is not the servers'.
+TEST_F(placement_load, forgivesSilenceWhileThisProcessWasStopped)
+{
+    health[0].onSent(now);
+    now += seconds(5);
+    health[0].onLocalStall(now);
+    EXPECT_EQ(choose()->index, 0U);
+}
+
+TEST(second_attempt, waitsLongerThanUsualWorkAndLeavesTimeForTheAlternative)
+{
+    second_attempt_input input;
+    input.sentAt = start;
+    input.work = milliseconds(11);
+    input.distance = milliseconds(1);
+    input.alternativeDistance = milliseconds(24);
+    const time_point at = secondAttemptTime(input, usualTimes());
+    EXPECT_GT(at, start + milliseconds(25));
+    EXPECT_LT(at + milliseconds(24 + 22), usualTimes().targetEnd);
+}
+
+// Far servers leave little time: the second attempt comes earlier than usual.
+TEST(second_attempt, comesEarlierIfTheAlternativeIsFar)
+{
+    second_attempt_input input;
+    input.sentAt = start;
+    input.work = milliseconds(20);
+    input.distance = milliseconds(1);
+    input.alternativeDistance = milliseconds(70);
+    EXPECT_LE(secondAttemptTime(input, usualTimes()), start + milliseconds(35));
+}
+
+TEST(answer_decision, waitsForMissingPartsUntilTheTarget)
+{
+    const parts_state parts{10, 9, 1, 0, 0.89};
+    EXPECT_EQ(decideAnswer(parts, usualTimes(), start + milliseconds(100)),
+              answer_decision::Wait);
+    EXPECT_EQ(decideAnswer(parts, usualTimes(), usualTimes().targetEnd),
+              answer_decision::Answer);
+}
+
+TEST(answer_decision, doesNotWaitForPartsThatProbablyDoNotCome)
+{
+    const parts_state parts{10, 9, 1, 1, 0.89};
+    EXPECT_EQ(decideAnswer(parts, usualTimes(), start + milliseconds(30)),
+              answer_decision::Answer);
+}
+
+TEST(answer_decision, failsAsSoonAsTheCoverageIsOutOfReach)
+{
+    const parts_state parts{10, 5, 3, 0, 0.89};
+    EXPECT_EQ(decideAnswer(parts, usualTimes(), start + milliseconds(10)),
+              answer_decision::Fail);
+}
+
+// A late answer is worth little, but more than none.
+TEST(answer_decision, waitsPastTheTargetForTheLeastCoverage)
+{
+    const parts_state parts{10, 8, 2, 0, 0.89};
+    EXPECT_EQ(decideAnswer(parts, usualTimes(), usualTimes().targetEnd + milliseconds(50)),
+              answer_decision::Wait);
+    EXPECT_EQ(decideAnswer(parts, usualTimes(), usualTimes().deadline), answer_decision::Fail);
+}
+
+// 0.89 of 9 parts is 8.01: rounding must not demand one part more or less.
+TEST(answer_decision, comparesSharesExactly)
+{
+    EXPECT_TRUE(coversEnough({100, 89, 0, 0, 0.89}));
+    EXPECT_FALSE(coversEnough({100, 88, 0, 0, 0.89}));
+    EXPECT_FALSE(coversEnough({10, 0, 0, 0, 0.0}));
+}
+
+// The budget belongs to all instances together and holds in every window, whatever the load of each.
+TEST(extra_attempts, keepTheSharedBoundUnderUnevenLoad)
+{
+    constexpr std::size_t instances = 9;
+    const extra_attempt_limits limits{0.2, 58, seconds(10)};
+    std::vector<extra_attempts> budgets(instances, extra_attempts(limits, start));
+    random_source random(17);
+    std::deque<std::pair<time_point, bool>> events;
+    std::size_t requests = 0;
+    std::size_t extra = 0;
+    for (int step = 0; step < 40000; ++step) {
+        const time_point now = start + milliseconds(step);
+        // The load of single instances comes and goes; everybody wants as much as possible.
+        const std::size_t who = random.below(instances);
+        const bool isBusy = (step / 3000 + static_cast<int>(who)) % 3 == 0;
+        if (isBusy) {
+            budgets[who].onRequest(now);
+            events.emplace_back(now, false);
+            ++requests;
+        }
+        if (budgets[who].take(now, instances)) {
+            events.emplace_back(now, true);
+            ++extra;
+        }
+        while (now - events.front().first > limits.window) {
+            --(events.front().second ? extra : requests);
+            events.pop_front();
+        }
+        ASSERT_LE(static_cast<double>(extra),
+                  limits.ratio * static_cast<double>(requests) + limits.constant)
+                << "after " << step << " ms";
+    }
+}
+
+// A restarted process does not know what its predecessor has used.
+TEST(extra_attempts, withholdTheConstantShareAfterAStart)
+{
+    extra_attempts budget({0.2, 58, seconds(10)}, start);
+    EXPECT_FALSE(budget.take(start + seconds(1), 1));
+    EXPECT_TRUE(budget.take(start + seconds(11), 1));
+}
+
+TEST(weighted_rotation, isWithinOneRequestOfEveryShareAtAnyTime)
+{
+    const std::vector<weighted_service> parts{
+            {service_name("a"), 70}, {service_name("b"), 25}, {service_name("c"), 5}};
+    weighted_rotation rotation;
+    std::vector<double> got(parts.size(), 0);
+    for (int n = 1; n <= 1000; ++n) {
+        ++got[rotation.next(parts)];
+        for (std::size_t i = 0; i < parts.size(); ++i)
+            ASSERT_NEAR(got[i], n * parts[i].weight / 100, 1.0);
+    }
+}
+
+TEST(route_table, findsTheLongestPrefixOfTheHost)
+{
+    route_configuration c;
+    c.routes = {routeFor("a.example", "/x/"), routeFor("a.example", "/x/y/"),
+                routeFor("b.example", "/")};
+    const route_table table(std::move(c));
+    EXPECT_EQ(table.find("a.example", "/x/y/z")->prefix, "/x/y/");
+    EXPECT_EQ(table.find("a.example", "/x/yy")->prefix, "/x/");
+    EXPECT_EQ(table.find("A.Example:8080", "/x/?q=/x/y/")->prefix, "/x/");
+    EXPECT_EQ(table.find("a.example", "/z/"), nullptr);
+    EXPECT_EQ(table.find("c.example", "/x/"), nullptr);
+    EXPECT_EQ(table.find("b.example", "/anything")->host, "b.example");
+}
--- /dev/null
+++ b/unittests/gateway/fake_backends.cpp
@@ -0,0 +1,203 @@
+#include "fake_backends.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace peridotwheel {
+
+result<caller_terms> fake_dialect::readTerms(const opaque_request &request) const
+{
+    const std::string *id = request.header("Id");
+    if (id == nullptr)
+        return failure(error_kind::InvalidArgument, "no id; send one");
+    caller_terms terms;
+    terms.id = request_id(*id);
+    if (const std::string *patience = request.header("Patience"))
+        terms.patience = milliseconds(std::stoi(*patience));
+    return terms;
+}
+
+outgoing_request fake_dialect::prepare(const opaque_request &, const caller_terms &terms) const
+{
+    outgoing_request out;
+    out.id = terms.id;
+    out.head = terms.id.value();
+    return out;
+}
+
+exchange_request fake_dialect::addressTo(const outgoing_request &request,
+                                         const backend_record &server, duration left) const
+{
+    exchange_request out;
+    out.text = request.head + " " + std::to_string(left.count() / 1000) + " " + server.id.value();
+    return out;
+}
+
+exchange_request fake_dialect::healthCheck(const std::string &, const backend_record &) const
+{
+    exchange_request out;
+    out.text = "health";
+    return out;
+}
+
+bool fake_dialect::isHealthy(const http_reply &reply, const backend_record &) const
+{
+    return reply.status == 200;
+}
+
+reply_verdict fake_dialect::judge(const http_reply &reply) const
+{
+    const std::string verdict = *reply.header("V");
+    if (verdict == "answer")
+        return reply_verdict::Answer;
+    if (verdict == "failure")
+        return reply_verdict::Failure;
+    if (verdict == "rejected")
+        return reply_verdict::NotRun;
+    return reply_verdict::WrongServer;
+}
+
+answer_part fake_dialect::readPart(http_reply reply) const
+{
+    return {*reply.header("S"), std::move(reply.body)};
+}
+
+http_reply fake_dialect::writeGathered(const std::vector<answer_part> &parts, std::size_t missing,
+                                       std::string records) const
+{
+    http_reply reply{200, {{"Missing", std::to_string(missing)}}, std::move(records)};
+    for (const auto &part : parts)
+        reply.headers.emplace_back("Part", part.seal);
+    return reply;
+}
+
+http_reply fake_dialect::writeRefusal(const refusal &r) const
+{
+    static const std::map<refusal_kind, int> statuses{{refusal_kind::NotRun, 503},
+                                                      {refusal_kind::NoRoute, 404},
+                                                      {refusal_kind::BadRequest, 400},
+                                                      {refusal_kind::NoAnswer, 502},
+                                                      {refusal_kind::TimeRanOut, 504}};
+    http_reply reply{statuses.at(r.kind), {}, r.text};
+    if (r.retryAfter)
+        reply.headers.emplace_back("Retry-After-Ms", std::to_string(r.retryAfter->count() / 1000));
+    return reply;
+}
+
+class fake_backends::connection : public client_connection
+{
+public:
+    connection(manual_loop &loop, server &at, client_connection_hooks hooks)
+        : m_loop(loop)
+        , m_server(at)
+        , m_hooks(std::move(hooks))
+    {
+        ++m_server.openConnections;
+        m_event = m_loop.schedule(m_server.distance, [this] {
+            // Hooks may destroy this connection, so copies are called.
+            if (m_server.unreachable) {
+                const auto closed = m_hooks.onClosed;
+                return closed();
+            }
+            m_open = true;
+            const auto opened = m_hooks.onOpen;
+            opened();
+        });
+    }
+
+    ~connection() override
+    {
+        --m_server.openConnections;
+        if (m_done)
+            ++m_server.aborted;
+    }
+
+    void send(exchange_request request, outcome_hook done) override
+    {
+        m_done = std::move(done);
+        std::istringstream in(request.text);
+        in >> m_id;
+        m_event = m_loop.schedule(m_server.distance / 2, [this] { arrive(); });
+    }
+
+    bool busy() const override { return m_done != nullptr; }
+    bool open() const override { return m_open; }
+    bool written() const override { return busy(); }
+
+private:
+    void arrive()
+    {
+        const bool isCheck = m_id == "health";
+        const server_behaviour how = m_server.behaviour;
+        if (!isCheck)
+            m_server.arrived.push_back(m_id);
+        const bool runs = how != server_behaviour::Reject && how != server_behaviour::Elsewhere;
+        if (runs && !isCheck)
+            m_server.ran.push_back(m_id);
+        if (how == server_behaviour::Silent)
+            return;
+        const duration work = runs ? m_server.work : duration::zero();
+        m_event = m_loop.schedule(work + m_server.distance / 2, [this, how] { answer(how); });
+    }
+
+    void answer(server_behaviour how)
+    {
+        http_outcome outcome;
+        outcome.reply = {200, {{"V", "answer"}, {"S", m_id + "@server"}}, m_server.records};
+        switch (how) {
+        case server_behaviour::Fail:
+            outcome.reply.status = 500;
+            outcome.reply.headers[0].second = "failure";
+            break;
+        case server_behaviour::Reject:
+            outcome.reply.status = 503;
+            outcome.reply.headers[0].second = "rejected";
+            break;
+        case server_behaviour::Elsewhere:
+            outcome.reply.status = 421;
+            outcome.reply.headers[0].second = "elsewhere";
+            break;
+        case server_behaviour::Reset:
+            outcome.failure = transport_failure::MayHaveRun;
+            m_open = false;
+            break;
+        case server_behaviour::Answer:
+        case server_behaviour::Silent:
+            break;
+        }
+        const auto done = std::exchange(m_done, nullptr);
+        done(std::move(outcome));
+    }
+
+    manual_loop &m_loop;
+    server &m_server;
+    client_connection_hooks m_hooks;
+    outcome_hook m_done;
+    std::string m_id;
+    bool m_open = false;
+    timer m_event;
+};
+
+std::unique_ptr<client_connection> fake_backends::open(const endpoint &to,
+                                                       client_connection_hooks hooks)
+{
+    return std::make_unique<connection>(m_loop, m_servers[to.port], std::move(hooks));
+}
+
+std::size_t fake_backends::arrivals() const
+{
+    std::size_t all = 0;
+    for (const auto &[port, s] : m_servers)
+        all += s.arrived.size();
+    return all;
+}
+
+std::size_t fake_backends::runs(const std::string &id) const
+{
+    std::size_t all = 0;
+    for (const auto &[port, s] : m_servers)
+        all += static_cast<std::size_t>(std::count(s.ran.begin(), s.ran.end(), id));
+    return all;
+}
+
+} // namespace peridotwheel
--- /dev/null
+++ b/unittests/gateway/fake_backends.h
@@ -0,0 +1,99 @@
+#ifndef PERIDOTWHEEL_UNITTESTS_GATEWAY_FAKE_BACKENDS_H
+#define PERIDOTWHEEL_UNITTESTS_GATEWAY_FAKE_BACKENDS_H
+
+#include "peridotwheel/gateway/gateway.h"
+#include "peridotwheel/gateway/wire_dialect.h"
+#include "peridotwheel/http/client_connection.h"
+#include "peridotwheel/support/manual_loop.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace peridotwheel {
+
+/// A dialect of single words: a request is "ID LEFT-MS SERVER", a reply carries its verdict in the
+/// header "V" and its seal in "S".
+class fake_dialect : public wire_dialect
+{
+public:
+    result<caller_terms> readTerms(const opaque_request &request) const override;
+    outgoing_request prepare(const opaque_request &, const caller_terms &terms) const override;
+    exchange_request addressTo(const outgoing_request &request, const backend_record &server,
+                               duration left) const override;
+    exchange_request healthCheck(const std::string &, const backend_record &) const override;
+    bool isHealthy(const http_reply &reply, const backend_record &) const override;
+    reply_verdict judge(const http_reply &reply) const override;
+    std::optional<duration> idleTime(const http_reply &) const override { return std::nullopt; }
+    http_reply passOn(http_reply reply) const override { return reply; }
+    answer_part readPart(http_reply reply) const override;
+    http_reply writeGathered(const std::vector<answer_part> &parts, std::size_t missing,
+                             std::string records) const override;
+    http_reply writeRefusal(const refusal &r) const override;
+};
+
+/// What one simulated server does with the next request.
+enum class server_behaviour {
+    Answer,
+    Fail,      ///< Runs it and reports a failure.
+    Reject,    ///< Does not run it and says so.
+    Silent,    ///< Runs it and never answers.
+    Reset,     ///< Runs it and resets the connection.
+    Elsewhere, ///< Another server has the address.
+};
+
+/// Simulated servers at the ends of `client_connection`s, on manual time.
+class fake_backends : public client_connector
+{
+public:
+    struct server
+    {
+        server_behaviour behaviour = server_behaviour::Answer;
+        duration distance = milliseconds(2);
+        duration work = milliseconds(5);
+        /// Connections are refused.
+        bool unreachable = false;
+        std::string records;
+        /// Ids of the requests that arrived, and of those that ran.
+        std::vector<std::string> arrived;
+        std::vector<std::string> ran;
+        /// Exchanges that were ended by closing the connection.
+        unsigned aborted = 0;
+        unsigned openConnections = 0;
+    };
+
+    explicit fake_backends(manual_loop &loop)
+        : m_loop(loop)
+    {
+    }
+
+    std::unique_ptr<client_connection> open(const endpoint &to,
+                                            client_connection_hooks hooks) override;
+    server &at(std::uint16_t port) { return m_servers[port]; }
+    std::size_t arrivals() const;
+    std::size_t runs(const std::string &id) const;
+
+private:
+    class connection;
+
+    manual_loop &m_loop;
+    std::map<std::uint16_t, server> m_servers;
+};
+
+/// The caller's end of one request.
+class fake_client : public client_exchange
+{
+public:
+    void reply(const http_reply &r) override { replies.push_back(r); }
+    void onClientGone(std::function<void()> hook) override { gone = std::move(hook); }
+
+    std::vector<http_reply> replies;
+    std::function<void()> gone;
+};
+
+} // namespace peridotwheel
+
+#endif
