--- a/include/peridotwheel/gateway/gateway.h
+++ b/include/peridotwheel/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include "peridotwheel/gateway/extra_attempts.h"
 #include "peridotwheel/gateway/route.h"
 #include "peridotwheel/gateway/wire_dialect.h"
+#include "peridotwheel/membership/member.h"
 
 #include <cstddef>
 #include <functional>
@@ -22,6 +23,7 @@
 
 struct gateway_options
 {
+    instance_id self;
     data_centre_id dataCentre;
     /// Regions of all data centres; distances are assumed by them until they are measured.
     std::map<data_centre_id, region_id> regions;
@@ -48,7 +50,7 @@
     /// Takes over the present view of all servers.
     void setServers(const backend_map &servers);
     /// Instances that share the limits of servers and services, this one included.
-    void setInstances(std::size_t count);
+    void setInstances(const member_map &members);
     /// \p hook is called when a reply shows that the view of the servers is out of date.
     void setViewHook(std::function<void()> hook);
     void handle(opaque_request request, std::shared_ptr<client_exchange> client);
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -39,13 +39,9 @@
     m_state->setServers(servers);
 }
 
-void gateway::setInstances(std::size_t count)
+void gateway::setInstances(const member_map &members)
 {
-    if (m_state->instances == std::max<std::size_t>(count, 1))
-        return;
-    m_state->instances = std::max<std::size_t>(count, 1);
-    m_state->log.state("instances_known").add("count", static_cast<std::int64_t>(count));
-    m_state->updateShares();
+    m_state->setMembers(members);
 }
 
 void gateway::setViewHook(std::function<void()> hook)
--- a/lib/gateway/gateway_instance.cpp
+++ b/lib/gateway/gateway_instance.cpp
@@ -28,6 +28,7 @@
 gateway_options optionsFrom(const gateway_settings &s)
 {
     gateway_options o;
+    o.self = s.id;
     o.dataCentre = s.dataCentre;
     o.regions = s.regions;
     o.extraAttempts = s.extraAttempts;
@@ -93,7 +94,7 @@
                 optionsFrom(m_settings))
     , m_directory(loop, environment.store, log, selfFrom(m_settings), seed,
                   [this](const member_map &members) {
-                      m_gateway.setInstances(members.size());
+                      m_gateway.setInstances(members);
                       m_exchange.setMembers(members);
                   })
     , m_view(loop, environment.store, m_counters, log, seed, m_settings.applyWithin,
--- a/lib/gateway/gateway_state.cpp
+++ b/lib/gateway/gateway_state.cpp
@@ -49,6 +49,7 @@
     , count(set)
     , log(lg)
     , options(std::move(o))
+    , share(options.self, l.now(), connection_share::defaultHold, options.dataCentre)
     , m_lastTick(l.now())
 {
     tick();
@@ -145,31 +146,46 @@
             continue;
         }
         server = makeServer(record);
+        updateShare(*server);
         groupOf(record.service).servers.push_back(server);
         log.state("server_joined")
                 .add("server", id.value())
                 .add("service", record.service.value())
                 .add("data_centre", record.dataCentre.value());
     }
-    updateShares();
     for (const auto &server : gone)
         server->leave();
 }
 
+void gateway_state::setMembers(const member_map &view)
+{
+    members = view;
+    const std::size_t before = instances();
+    if (share.observe(members, loop.now()))
+        updateShares();
+    if (instances() != before)
+        log.state("instances_known").add("count", static_cast<std::int64_t>(instances()));
+}
+
 void gateway_state::updateShares()
 {
-    for (const auto &[id, server] : servers) {
-        const service_spec *spec = routes ? routes->service(server->record().service) : nullptr;
-        if (spec == nullptr) {
-            // Not named by the configuration: no connection before it is.
-            server->setShare(0, 0);
-            continue;
-        }
-        const double all = usedConnections * spec->maxConnections;
-        const auto share = static_cast<std::uint32_t>(all / static_cast<double>(instances));
-        const bool isNear = server->record().dataCentre == options.dataCentre;
-        server->setShare(std::max<std::uint32_t>(share, 1), isNear ? warmNear : warmFar);
+    for (const auto &[id, server] : servers)
+        updateShare(*server);
+}
+
+void gateway_state::updateShare(backend_server &server) const
+{
+    const backend_record &record = server.record();
+    const service_spec *spec = routes ? routes->service(record.service) : nullptr;
+    if (spec == nullptr) {
+        // Not named by the configuration: no connection before it is.
+        server.setShare(0, 0);
+        return;
     }
+    const auto all = static_cast<std::uint32_t>(usedConnections * spec->maxConnections);
+    const bool isNear = record.dataCentre == options.dataCentre;
+    server.setShare(share(record.id, std::max<std::uint32_t>(all, 1), record.dataCentre),
+                    isNear ? warmNear : warmFar);
 }
 
 void gateway_state::tick()
@@ -183,6 +199,8 @@
             server->noteLocalStall(now);
         server->maintain();
     }
+    if (share.observe(members, now))
+        updateShares();
     const auto old = retired;
     for (const auto &server : old)
         server->maintain();
--- a/lib/gateway/gateway_state.h
+++ b/lib/gateway/gateway_state.h
@@ -5,6 +5,7 @@
 #include "peridotwheel/gateway/backend_server.h"
 #include "peridotwheel/gateway/decision_log.h"
 #include "peridotwheel/gateway/gateway.h"
+#include "peridotwheel/limits/connection_share.h"
 #include "work_estimate.h"
 
 #include <map>
@@ -62,7 +63,9 @@
     service_group &groupOf(const service_name &name);
     service_group_ptr groupPtr(const service_name &name);
     void setServers(const backend_map &records);
+    void setMembers(const member_map &view);
     void updateShares();
+    std::size_t instances() const { return share.instances(); }
     void tick();
     /// How long a request of this route works at a usual server.
     work_estimate &workOf(const route &r) { return work[r.name]; }
@@ -76,7 +79,8 @@
     decision_log &log;
     gateway_options options;
     route_table_ptr routes;
-    std::size_t instances = 1;
+    member_map members;
+    connection_share share;
     /// A reply has shown that the view of the servers is out of date.
     std::function<void()> onOutdatedView;
     std::map<service_name, service_group_ptr> groups;
@@ -90,6 +94,7 @@
 private:
     duration assumedDistance(const data_centre_id &to) const;
     std::string healthPathOf(const service_name &service) const;
+    void updateShare(backend_server &server) const;
 
     time_point m_lastTick;
     timer m_timer;
--- a/lib/gateway/running_request.cpp
+++ b/lib/gateway/running_request.cpp
@@ -260,12 +260,12 @@
 {
     const time_point now = m_state.loop.now();
     const double reserve = reservePerRank * m_route->rank.value();
-    if (p.group->extra.left(now, m_state.instances) >= 1 + reserve &&
-        p.group->extra.take(now, m_state.instances))
+    if (p.group->extra.left(now, m_state.instances()) >= 1 + reserve &&
+        p.group->extra.take(now, m_state.instances()))
         return true;
     m_state.count.budgetDenied.add();
     m_story.add(now, "budget_denied", p.group->name.value(), "",
-                p.group->extra.left(now, m_state.instances));
+                p.group->extra.left(now, m_state.instances()));
     return false;
 }
 
--- a/lib/http/message_parser.cpp
+++ b/lib/http/message_parser.cpp
@@ -42,6 +42,12 @@
     return named ? state : parse_state::Malformed;
 }
 
+/// Names with blanks are read in different ways by different programs.
+bool isToken(const std::string &name)
+{
+    return !name.empty() && name.find_first_of(" \t") == std::string::npos;
+}
+
 bool isHeader(const std::string &name, const char *wanted)
 {
     return strcasecmp(name.c_str(), wanted) == 0;
@@ -86,6 +92,8 @@
     // A message with both a length and chunks, or with another encoding, can be read in two ways.
     int encodings = 0;
     for (const auto &[name, value] : headers) {
+        if (!isToken(name))
+            return -1;
         if (!isHeader(name, "Transfer-Encoding"))
             continue;
         ++encodings;
--- a/unittests/gateway/gateway_fixture.cpp
+++ b/unittests/gateway/gateway_fixture.cpp
@@ -20,6 +20,7 @@
 gateway_options fixtureOptions()
 {
     gateway_options o;
+    o.self = instance_id("self");
     o.dataCentre = data_centre_id("near");
     o.extraAttempts.constant = 1000;
     return o;
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -263,7 +263,13 @@
 // The connections of all instances together must stay below a server's limit.
 TEST_F(gateway_requests, keepsItsShareOfAServersConnections)
 {
-    gate.setInstances(9);
+    member_map members;
+    for (int i = 0; i < 9; ++i) {
+        member m;
+        m.id = instance_id(i == 0 ? "self" : "other-" + std::to_string(i));
+        members.emplace(m.id, m);
+    }
+    gate.setInstances(members);
     start();
     plainServer(0).work = milliseconds(500);
     for (int i = 0; i < 40; ++i)
--- /dev/null
+++ b/unittests/http/message_parser_test.cpp
@@ -0,0 +1,128 @@
+#include "peridotwheel/http/message_parser.h"
+
+#include <gtest/gtest.h>
+
+using namespace peridotwheel;
+
+namespace {
+
+using parse_state = message_parser::parse_state;
+
+/// The state after all of \p text, or at the end of the first message.
+parse_state stateAfter(const std::string &text, message_limits limits = {})
+{
+    message_parser parser(message_parser::role::Request);
+    parser.setLimits(limits);
+    parser.feed(text.data(), text.size());
+    return parser.state();
+}
+
+opaque_request requestIn(const std::string &text)
+{
+    message_parser parser(message_parser::role::Request);
+    // Byte by byte, since messages arrive in any pieces.
+    for (const char c : text)
+        parser.feed(&c, 1);
+    EXPECT_EQ(parser.state(), parse_state::Complete);
+    return parser.takeRequest();
+}
+
+const std::string head = "POST /p/?q=1 HTTP/1.1\r\nHost: a\r\n";
+
+} // namespace
+
+TEST(message_parser, readsARequestByteByByte)
+{
+    const auto r = requestIn(head + "X-Note: a b\r\nContent-Length: 5\r\n\r\nhello");
+    EXPECT_EQ(r.method, "POST");
+    EXPECT_EQ(r.target, "/p/?q=1");
+    EXPECT_EQ(*r.header("x-note"), "a b");
+    EXPECT_EQ(r.body, "hello");
+    EXPECT_TRUE(r.keepAlive);
+}
+
+TEST(message_parser, readsChunkedBodies)
+{
+    const auto r = requestIn(head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    EXPECT_EQ(r.body, "abcde");
+}
+
+// The body of a GET must not be read as the next request.
+TEST(message_parser, readsTheBodyOfAGet)
+{
+    const auto r = requestIn("GET / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nGET ");
+    EXPECT_EQ(r.body, "GET ");
+}
+
+TEST(message_parser, stopsAtTheEndOfAMessage)
+{
+    message_parser parser(message_parser::role::Request);
+    const std::string one = "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n";
+    const std::string both = one + "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n";
+    EXPECT_EQ(parser.feed(both.data(), both.size()), one.size());
+    EXPECT_EQ(parser.takeRequest().target, "/1");
+    parser.feed(both.data() + one.size(), both.size() - one.size());
+    EXPECT_EQ(parser.takeRequest().target, "/2");
+}
+
+// A message that two readers can read in two ways smuggles a request past one of them.
+TEST(message_parser, refusesAmbiguousLengths)
+{
+    for (const char *headers : {
+                 "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+                 "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+                 "Content-Length: 4\r\nContent-Length: 5\r\n",
+                 "Content-Length: 4, 4\r\n",
+                 "Content-Length: +4\r\n",
+                 "Transfer-Encoding: xchunked\r\n",
+                 "Transfer-Encoding: gzip, chunked\r\n",
+                 "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+                 "Transfer-Encoding : chunked\r\n",
+         }) {
+        const auto state = stateAfter(head + headers + "\r\n0\r\n\r\n");
+        EXPECT_EQ(state, parse_state::Malformed) << headers;
+    }
+}
+
+TEST(message_parser, keepsItsLimits)
+{
+    const message_limits limits{200, 10};
+    EXPECT_EQ(stateAfter(head + "X: " + std::string(300, 'x') + "\r\n\r\n", limits),
+              parse_state::HeaderTooLarge);
+    EXPECT_EQ(stateAfter(head + "Content-Length: 11\r\n\r\n", limits), parse_state::BodyTooLarge);
+    EXPECT_EQ(stateAfter(head + "Transfer-Encoding: chunked\r\n\r\nb\r\n01234567890\r\n", limits),
+              parse_state::BodyTooLarge);
+    EXPECT_EQ(stateAfter(head + "Content-Length: 10\r\n\r\n0123456789", limits),
+              parse_state::Complete);
+}
+
+TEST(message_parser, completesAReplyWithoutLengthAtTheOrderlyEndOnly)
+{
+    message_parser parser(message_parser::role::Reply);
+    const std::string text = "HTTP/1.1 200 OK\r\n\r\nbody";
+    parser.feed(text.data(), text.size());
+    EXPECT_EQ(parser.state(), parse_state::Incomplete);
+    parser.feedEnd();
+    EXPECT_EQ(parser.state(), parse_state::Complete);
+    EXPECT_FALSE(parser.keepAlive());
+    EXPECT_EQ(parser.takeReply().body, "body");
+}
+
+// An answer that ends before its stated length must not look whole.
+TEST(message_parser, refusesAReplyThatEndsEarly)
+{
+    message_parser parser(message_parser::role::Reply);
+    const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nbody";
+    parser.feed(text.data(), text.size());
+    parser.feedEnd();
+    EXPECT_EQ(parser.state(), parse_state::Malformed);
+}
+
+TEST(message_parser, expectsNoBodyAfterHead)
+{
+    message_parser parser(message_parser::role::Reply);
+    parser.expectNoBody(true);
+    const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n";
+    parser.feed(text.data(), text.size());
+    EXPECT_EQ(parser.state(), parse_state::Complete);
+}
--- /dev/null
+++ b/unittests/http/stream_test.cpp
@@ -0,0 +1,285 @@
+#include "peridotwheel/http/socket_connector.h"
+#include "peridotwheel/http/stream_server.h"
+#include "peridotwheel/support/libevent_loop.h"
+#include "peridotwheel/support/unique_fd.h"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+using namespace peridotwheel;
+
+namespace {
+
+constexpr std::size_t maxReplyBytes = 1024 * 1024;
+
+/// A listener on loopback whose requests wait in `received`, and raw clients.
+class stream_server_test : public testing::Test
+{
+protected:
+    stream_server_test()
+        : server(
+                  loop, [this] { return limits; },
+                  [this](opaque_request r, std::shared_ptr<client_exchange> e) {
+                      requests.push_back(std::move(r));
+                      exchanges.push_back(std::move(e));
+                  })
+    {
+        EXPECT_TRUE(server.listen({"127.0.0.1", 0}));
+    }
+
+    unique_fd connectRaw() const
+    {
+        unique_fd fd(socket(AF_INET, SOCK_STREAM, 0));
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(server.boundPort());
+        inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+        EXPECT_EQ(connect(fd.get(), reinterpret_cast<sockaddr *>(&address), sizeof address), 0);
+        return fd;
+    }
+
+    void runFor(duration d)
+    {
+        const timer end = loop.schedule(d, [this] { loop.stop(); });
+        loop.run();
+    }
+
+    /// What the server has sent by now.
+    static std::string received(const unique_fd &fd)
+    {
+        std::string out(64 * 1024, '\0');
+        const ssize_t n = recv(fd.get(), out.data(), out.size(), MSG_DONTWAIT);
+        out.resize(n > 0 ? static_cast<std::size_t>(n) : 0);
+        return out;
+    }
+
+    static void write(const unique_fd &fd, const std::string &text)
+    {
+        ASSERT_EQ(::send(fd.get(), text.data(), text.size(), 0),
+                  static_cast<ssize_t>(text.size()));
+    }
+
+    libevent_loop loop;
+    stream_limits limits;
+    stream_server server;
+    std::vector<opaque_request> requests;
+    std::vector<std::shared_ptr<client_exchange>> exchanges;
+};
+
+const std::string get = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+
+/// A server that sends prepared bytes for each request that arrives on a raw socket.
+class client_connection_test : public testing::Test
+{
+protected:
+    client_connection_test()
+        : connector(loop, maxReplyBytes, idle_probing::Off)
+        , listener(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+        EXPECT_EQ(bind(listener.get(), reinterpret_cast<sockaddr *>(&address), sizeof address), 0);
+        EXPECT_EQ(listen(listener.get(), 5), 0);
+        socklen_t size = sizeof address;
+        getsockname(listener.get(), reinterpret_cast<sockaddr *>(&address), &size);
+        to = {"127.0.0.1", ntohs(address.sin_port)};
+        connection = connector.open(to, {nullptr, [this] { closedWhileIdle = true; }});
+        peer = unique_fd(accept(listener.get(), nullptr, nullptr));
+        runFor(milliseconds(20));
+    }
+
+    void runFor(duration d)
+    {
+        const timer end = loop.schedule(d, [this] { loop.stop(); });
+        loop.run();
+    }
+
+    void send(std::function<bool(const http_reply &)> accepts = nullptr)
+    {
+        exchange_request request;
+        request.text = get;
+        request.accepts = std::move(accepts);
+        connection->send(std::move(request), [this](http_outcome o) { outcome = std::move(o); });
+    }
+
+    void answer(const std::string &text)
+    {
+        // Closing a socket with unread bytes would reset the connection.
+        char request[1024];
+        static_cast<void>(recv(peer.get(), request, sizeof request, MSG_DONTWAIT));
+        ASSERT_EQ(::send(peer.get(), text.data(), text.size(), 0),
+                  static_cast<ssize_t>(text.size()));
+        runFor(milliseconds(20));
+    }
+
+    static std::string replyText(const std::string &id)
+    {
+        return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 2\r\n\r\nok";
+    }
+
+    libevent_loop loop;
+    socket_connector connector;
+    unique_fd listener;
+    unique_fd peer;
+    endpoint to;
+    std::unique_ptr<client_connection> connection;
+    std::optional<http_outcome> outcome;
+    bool closedWhileIdle = false;
+};
+
+} // namespace
+
+// Work for a caller who has left loads the servers for nothing: the close must show at once.
+TEST_F(stream_server_test, noticesAClientThatLeavesWhileItsRequestRuns)
+{
+    bool gone = false;
+    unique_fd fd = connectRaw();
+    write(fd, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab");
+    runFor(milliseconds(20));
+    ASSERT_EQ(exchanges.size(), 1U);
+    exchanges[0]->onClientGone([&gone] { gone = true; });
+    fd.reset();
+    runFor(milliseconds(20));
+    EXPECT_TRUE(gone);
+    exchanges[0]->reply({200, {}, "late"});
+    EXPECT_EQ(server.requestsInFlight(), 0U);
+}
+
+// Each answer belongs to its own request, also when several are sent at once.
+TEST_F(stream_server_test, answersPipelinedRequestsOneAfterTheOther)
+{
+    const unique_fd fd = connectRaw();
+    write(fd, get + get);
+    runFor(milliseconds(20));
+    ASSERT_EQ(exchanges.size(), 1U);
+    exchanges[0]->reply({200, {}, "first"});
+    runFor(milliseconds(20));
+    ASSERT_EQ(exchanges.size(), 2U);
+    exchanges[1]->reply({200, {}, "second"});
+    const std::string text = received(fd);
+    EXPECT_LT(text.find("first"), text.find("second"));
+}
+
+TEST_F(stream_server_test, refusesWhatTheLimitsForbidAndCloses)
+{
+    limits.message.maxBodyBytes = 4;
+    const unique_fd fd = connectRaw();
+    write(fd, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\n");
+    runFor(milliseconds(20));
+    EXPECT_EQ(received(fd).substr(0, 12), "HTTP/1.1 413");
+    EXPECT_TRUE(requests.empty());
+}
+
+// Graceful shutdown: requests in flight are answered, and every answer ends its connection.
+TEST_F(stream_server_test, closesEachConnectionWithItsAnswerWhileDraining)
+{
+    const unique_fd fd = connectRaw();
+    write(fd, get);
+    runFor(milliseconds(20));
+    server.beginDrain();
+    server.stopAccepting();
+    runFor(milliseconds(20));
+    ASSERT_EQ(exchanges.size(), 1U);
+    exchanges[0]->reply({200, {}, "whole"});
+    runFor(milliseconds(20));
+    const std::string text = received(fd);
+    EXPECT_NE(text.find("Connection: close"), std::string::npos);
+    EXPECT_NE(text.find("whole"), std::string::npos);
+}
+
+TEST_F(stream_server_test, closesIdleConnectionsAfterTheirTimeOnly)
+{
+    limits.idleTimeout = milliseconds(400);
+    const unique_fd fd = connectRaw();
+    runFor(milliseconds(200));
+    EXPECT_EQ(server.openConnections(), 1U);
+    runFor(milliseconds(700));
+    EXPECT_EQ(server.openConnections(), 0U);
+}
+
+TEST_F(stream_server_test, givesUpOnHeadersThatNeverEnd)
+{
+    limits.headerTimeout = milliseconds(200);
+    const unique_fd fd = connectRaw();
+    write(fd, "GET /x HTTP/1.1\r\nHost:");
+    runFor(milliseconds(700));
+    EXPECT_EQ(received(fd).substr(0, 12), "HTTP/1.1 408");
+}
+
+// A second answer to an earlier request arrives where the next one is expected.
+TEST_F(client_connection_test, skipsTheLateReplyOfAnotherRequest)
+{
+    send([](const http_reply &r) { return *r.header("Id") == "mine"; });
+    runFor(milliseconds(20));
+    answer(replyText("other") + replyText("mine"));
+    ASSERT_TRUE(outcome);
+    EXPECT_EQ(*outcome->reply.header("Id"), "mine");
+    EXPECT_TRUE(connection->open());
+}
+
+// Bytes after a reply belong to no request; the connection must not be used again.
+TEST_F(client_connection_test, isNotUsedAgainAfterStrayBytes)
+{
+    send();
+    runFor(milliseconds(20));
+    answer(replyText("mine") + replyText("extra"));
+    ASSERT_TRUE(outcome);
+    EXPECT_FALSE(connection->open());
+}
+
+TEST_F(client_connection_test, closesOnBytesWhileIdle)
+{
+    answer(replyText("unasked"));
+    EXPECT_TRUE(closedWhileIdle);
+    EXPECT_FALSE(connection->open());
+}
+
+TEST_F(client_connection_test, reportsAShortReplyAsMaybeRun)
+{
+    send();
+    runFor(milliseconds(20));
+    answer("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort");
+    peer.reset();
+    runFor(milliseconds(20));
+    ASSERT_TRUE(outcome);
+    EXPECT_EQ(outcome->failure, transport_failure::MayHaveRun);
+}
+
+// A reply without a length that ends by a reset is cut short.
+TEST_F(client_connection_test, reportsAResetReplyWithoutLengthAsMaybeRun)
+{
+    send();
+    runFor(milliseconds(20));
+    answer("HTTP/1.1 200 OK\r\n\r\npart");
+    const linger now{1, 0};
+    setsockopt(peer.get(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    peer.reset();
+    runFor(milliseconds(20));
+    ASSERT_TRUE(outcome);
+    EXPECT_EQ(outcome->failure, transport_failure::MayHaveRun);
+}
+
+TEST_F(client_connection_test, acceptsAReplyWithoutLengthThatEndsInOrder)
+{
+    send();
+    runFor(milliseconds(20));
+    answer("HTTP/1.1 200 OK\r\n\r\nall");
+    peer.reset();
+    runFor(milliseconds(20));
+    ASSERT_TRUE(outcome);
+    EXPECT_EQ(outcome->reply.body, "all");
+}
+
+// Nothing was written to a server that could not be reached: the request may go elsewhere.
+TEST_F(client_connection_test, reportsARefusedConnectionAsNotSent)
+{
+    listener.reset();
+    connection = connector.open(to, {nullptr, [] {}});
+    send();
+    runFor(milliseconds(50));
+    ASSERT_TRUE(outcome);
+    EXPECT_EQ(outcome->failure, transport_failure::NotSent);
+}
