--- a/include/peridotwheel/gateway/extra_attempts.h
+++ b/include/peridotwheel/gateway/extra_attempts.h
@@ -31,10 +31,12 @@
     extra_attempts(const extra_attempt_limits &limits, time_point now);
 
     void onRequest(time_point now);
-    /// Takes one extra attempt if there is one left for instances \p instances in all.
-    bool take(time_point now, std::size_t instances);
-    /// Extra attempts that are left.
-    double left(time_point now, std::size_t instances);
+    /// Takes one extra attempt if there is one left. \p instances is the number of instances that
+    /// share the constant, 0 if it is not known: the constant stays unused then. \p reservedShare
+    /// is kept for more urgent work.
+    bool take(time_point now, std::size_t instances, double reservedShare = 0);
+    /// Extra attempts allowed in the present window, used ones included.
+    double allowance(time_point now, std::size_t instances);
 
 private:
     static constexpr std::size_t bucketCount = 50;
--- a/lib/gateway/extra_attempts.cpp
+++ b/lib/gateway/extra_attempts.cpp
@@ -8,7 +8,7 @@
 
 /// Share of the bound that is used. The rest covers what is counted at the servers in another
 /// window than here: attempts are counted when they are sent, not when they arrive.
-constexpr double usedShare = 0.85;
+constexpr double usedShare = 0.92;
 
 } // namespace
 
@@ -41,19 +41,19 @@
     ++m_requests;
 }
 
-double extra_attempts::left(time_point now, std::size_t instances)
+double extra_attempts::allowance(time_point now, std::size_t instances)
 {
     advance(now);
-    const bool knowsWindow = now - m_startedAt >= m_limits.window;
-    const double constant = knowsWindow ? m_limits.constant / static_cast<double>(
-                                                  std::max<std::size_t>(instances, 1))
-                                        : 0;
-    return usedShare * (m_limits.ratio * m_requests + constant) - m_extra;
+    const bool mayUseConstant = instances > 0 && now - m_startedAt >= m_limits.window;
+    const double constant =
+            mayUseConstant ? m_limits.constant / static_cast<double>(instances) : 0;
+    return usedShare * (m_limits.ratio * m_requests + constant);
 }
 
-bool extra_attempts::take(time_point now, std::size_t instances)
+bool extra_attempts::take(time_point now, std::size_t instances, double reservedShare)
 {
-    if (left(now, instances) < 1)
+    const double all = allowance(now, instances);
+    if (all * (1 - reservedShare) - m_extra < 1)
         return false;
     ++current().extra;
     ++m_extra;
--- a/lib/gateway/gateway_state.h
+++ b/lib/gateway/gateway_state.h
@@ -65,7 +65,8 @@
     void setServers(const backend_map &records);
     void setMembers(const member_map &view);
     void updateShares();
-    std::size_t instances() const { return share.instances(); }
+    /// Instances that share limits, this one included; 0 while they are not known.
+    std::size_t instances() const { return members.empty() ? 0 : share.instances(); }
     void tick();
     /// How long a request of this route works at a usual server.
     work_estimate &workOf(const route &r) { return work[r.name]; }
--- a/lib/gateway/running_request.cpp
+++ b/lib/gateway/running_request.cpp
@@ -18,8 +18,9 @@
 /// checked several times a second.
 constexpr duration unreachableRetryAfter = milliseconds(400);
 constexpr int marginShare = 10;
-/// Extra attempts that are kept back for each rank of greater urgency.
-constexpr double reservePerRank = 2;
+/// Share of the extra attempts that is kept back for each rank of greater urgency, and its bound.
+constexpr double reservePerRank = 0.1;
+constexpr double maxReserve = 0.5;
 
 double asMs(duration d)
 {
@@ -259,13 +260,15 @@
 bool running_request::takeExtra(part &p)
 {
     const time_point now = m_state.loop.now();
-    const double reserve = reservePerRank * m_route->rank.value();
-    if (p.group->extra.left(now, m_state.instances()) >= 1 + reserve &&
-        p.group->extra.take(now, m_state.instances()))
+    const double reserve = std::min(reservePerRank * m_route->rank.value(), maxReserve);
+    if (p.group->extra.take(now, m_state.instances(), reserve))
         return true;
     m_state.count.budgetDenied.add();
-    m_story.add(now, "budget_denied", p.group->name.value(), "",
-                p.group->extra.left(now, m_state.instances()));
+    if (!p.wasDenied) {
+        m_story.add(now, "extra_attempt_denied", p.group->name.value(), "",
+                    p.group->extra.allowance(now, m_state.instances()));
+    }
+    p.wasDenied = true;
     return false;
 }
 
--- a/lib/gateway/running_request.h
+++ b/lib/gateway/running_request.h
@@ -43,6 +43,7 @@
         bool done = false;
         bool lost = false;
         bool doubtful = false;
+        bool wasDenied = false;
         std::optional<time_point> secondAt;
         answer_part result;
         /// The last failure that a server reported itself.
--- a/unittests/gateway/decisions_test.cpp
+++ b/unittests/gateway/decisions_test.cpp
@@ -262,6 +262,28 @@
     EXPECT_TRUE(budget.take(start + seconds(11), 1));
 }
 
+// Alone by mistake, an instance would use the share of all others as well.
+TEST(extra_attempts, withholdTheConstantShareWhileTheInstancesAreUnknown)
+{
+    extra_attempts budget({0.2, 58, seconds(10)}, start);
+    EXPECT_FALSE(budget.take(start + seconds(20), 0));
+}
+
+// Little is left: it belongs to the urgent work.
+TEST(extra_attempts, keepTheReserveOfMoreUrgentWork)
+{
+    extra_attempts budget({0.2, 10, seconds(10)}, start);
+    const time_point now = start + seconds(20);
+    int low = 0;
+    while (budget.take(now, 1, 0.5))
+        ++low;
+    int urgent = 0;
+    while (budget.take(now, 1))
+        ++urgent;
+    EXPECT_GT(low, 0);
+    EXPECT_GT(urgent, low / 2);
+}
+
 TEST(weighted_rotation, isWithinOneRequestOfEveryShareAtAnyTime)
 {
     const std::vector<weighted_service> parts{
--- a/unittests/gateway/gateway_fixture.cpp
+++ b/unittests/gateway/gateway_fixture.cpp
@@ -86,6 +86,9 @@
 
 void gateway_fixture::start()
 {
+    member self;
+    self.id = instance_id("self");
+    gate.setInstances({{self.id, self}});
     gate.setServers(servers);
     gate.setRoutes(std::make_shared<route_table>(configuration(1)));
     loop.advance(seconds(1));
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -269,8 +269,9 @@
         m.id = instance_id(i == 0 ? "self" : "other-" + std::to_string(i));
         members.emplace(m.id, m);
     }
-    gate.setInstances(members);
     start();
+    gate.setInstances(members);
+    loop.advance(seconds(1));
     plainServer(0).work = milliseconds(500);
     for (int i = 0; i < 40; ++i)
         send("/one/", "q" + std::to_string(i));
