--- a/include/peridotwheel/gateway/cluster_view.h
+++ b/include/peridotwheel/gateway/cluster_view.h
@@ -32,6 +32,9 @@
     /// Revision of the store up to which the servers are known.
     object_version serversAt;
     std::vector<platform_object> servers;
+    /// Revision of the store up to which the instances are known.
+    object_version instancesAt;
+    std::vector<platform_object> instances;
     /// How long ago the store was read for this view.
     duration age{};
 };
--- a/lib/gateway/backend_server.cpp
+++ b/lib/gateway/backend_server.cpp
@@ -11,13 +11,13 @@
 constexpr duration connectTimeout = milliseconds(500);
 /// Pause after a connection was refused or reset before use, doubled each time up to the second
 /// value: the server's limit is shared with other instances.
-constexpr duration firstOpenPause = milliseconds(100);
-constexpr duration maxOpenPause = seconds(2);
+constexpr duration firstOpenPause = milliseconds(250);
+constexpr duration maxOpenPause = seconds(4);
 /// A connection that has been open for this long was accepted: a refusal arrives within a round
 /// trip, and round trips are shorter.
 constexpr duration provingTime = milliseconds(100);
-/// A server that does not state its idle time is assumed to keep connections for this long.
-constexpr duration assumedIdleTime = seconds(10);
+/// A server that does not state its idle time is left to close connections itself.
+constexpr duration assumedIdleTime = std::chrono::hours(1);
 /// Connections are given up this long before the server would close them, so that no request
 /// crosses the close.
 constexpr duration idleMargin = seconds(1);
@@ -153,7 +153,6 @@
     s.isOpen = true;
     s.openedAt = now;
     s.idleSince = now;
-    m_openPause = duration::zero();
     m_health.onConnected(now - s.startedAt);
     dispatch();
 }
@@ -264,6 +263,7 @@
             s.idleTime = *idle;
         result.reply = std::move(outcome.reply);
         s.hasReplied = true;
+        m_openPause = duration::zero();
     } else if (outcome.failure == transport_failure::MayHaveRun) {
         result.end = attempt_end::MayHaveRun;
     }
--- a/lib/gateway/decision_log.cpp
+++ b/lib/gateway/decision_log.cpp
@@ -81,13 +81,14 @@
 
 void decision_log::flush()
 {
-    if (m_leftOut != m_reportedLeftOut) {
-        const std::uint64_t more = m_leftOut - m_reportedLeftOut;
+    const std::size_t taken = m_write(m_buffer);
+    m_buffer.erase(0, std::min(taken, m_buffer.size()));
+    // Reported only once there is room again, or the report would be left out as well.
+    const std::uint64_t more = m_leftOut - m_reportedLeftOut;
+    if (more != 0 && m_buffer.size() + stateReserveBytes < m_options.maxBufferedBytes) {
         m_reportedLeftOut = m_leftOut;
         state("log_lines_left_out").add("count", static_cast<std::int64_t>(more));
     }
-    const std::size_t taken = m_write(m_buffer);
-    m_buffer.erase(0, std::min(taken, m_buffer.size()));
     if (!m_buffer.empty() && !m_flush)
         flushLater();
 }
--- a/lib/gateway/gateway_instance.cpp
+++ b/lib/gateway/gateway_instance.cpp
@@ -57,6 +57,7 @@
     void reload(const result<gateway_settings> &settings);
 
 private:
+    instance_directory::first_read firstRead() const;
     void answerReadiness(client_exchange &client);
     void answerMetrics(client_exchange &client);
     bool isReady() const { return !m_stopping && m_gateway.isReady(); }
@@ -101,8 +102,7 @@
              std::move(environment.documents),
              {[this](route_table_ptr routes) { m_gateway.setRoutes(std::move(routes)); },
               [this](const backend_map &servers) { m_gateway.setServers(servers); }})
-    , m_exchange(loop, m_view, environment.http, log, seed, selfFrom(m_settings),
-                 m_settings.applyWithin)
+    , m_exchange(loop, m_view, m_directory, environment.http, log, seed, m_settings.applyWithin)
     , m_callers(
               loop, [this] { return m_gateway.limits(); },
               [this](opaque_request request, std::shared_ptr<client_exchange> client) {
@@ -135,11 +135,23 @@
     BOOST_OUTCOME_TRYV(m_peers.listen(m_settings.peers));
     m_log.state("started").add("data_centre", m_settings.dataCentre.value());
     m_exchange.setSeeds(m_settings.seeds);
-    m_directory.start(m_settings.firstStart);
+    m_directory.start(firstRead());
     m_exchange.start();
     return success();
 }
 
+instance_directory::first_read gateway_instance::impl::firstRead() const
+{
+    using first_read = instance_directory::first_read;
+    if (!m_settings.firstStart)
+        return first_read::AtOnce;
+    // At the first start of all, the seeds read for the others.
+    const auto &seeds = m_settings.seeds;
+    const bool isSeed =
+            seeds.empty() || std::find(seeds.begin(), seeds.end(), m_settings.peers) != seeds.end();
+    return isSeed ? first_read::Soon : first_read::IfAlone;
+}
+
 void gateway_instance::impl::answerReadiness(client_exchange &client)
 {
     const bool ready = isReady();
--- a/lib/gateway/gateway_state.cpp
+++ b/lib/gateway/gateway_state.cpp
@@ -16,6 +16,8 @@
 constexpr duration sameDataCentre = milliseconds(1);
 constexpr duration sameRegion = milliseconds(2);
 constexpr duration otherRegion = milliseconds(40);
+/// How long an instance waits for the store or a peer to tell it who the others are.
+constexpr duration aloneAfter = seconds(3);
 /// Share of a server's connections that all instances together use. The rest covers instances
 /// that this one does not know of yet.
 constexpr double usedConnections = 0.9;
@@ -50,7 +52,8 @@
     , log(lg)
     , options(std::move(o))
     , share(options.self, l.now(), connection_share::defaultHold, options.dataCentre)
-    , m_lastTick(l.now())
+    , m_startedAt(l.now())
+    , m_lastTick(m_startedAt)
 {
     tick();
 }
@@ -159,9 +162,10 @@
 
 void gateway_state::setMembers(const member_map &view)
 {
-    members = view;
     const std::size_t before = instances();
-    if (share.observe(members, loop.now()))
+    const bool isFirst = members.empty();
+    members = view;
+    if (share.observe(members, loop.now()) || isFirst)
         updateShares();
     if (instances() != before)
         log.state("instances_known").add("count", static_cast<std::int64_t>(instances()));
@@ -177,8 +181,10 @@
 {
     const backend_record &record = server.record();
     const service_spec *spec = routes ? routes->service(record.service) : nullptr;
-    if (spec == nullptr) {
-        // Not named by the configuration: no connection before it is.
+    // A share is known with the instances; an instance that hears of nobody takes one connection.
+    const bool isAlone = loop.now() - m_startedAt >= aloneAfter;
+    if (spec == nullptr || (members.empty() && !isAlone)) {
+        // Nor is there a connection to a service before the configuration names it.
         server.setShare(0, 0);
         return;
     }
@@ -192,15 +198,17 @@
 {
     const time_point now = loop.now();
     const bool stalled = now - m_lastTick > tickInterval + stallThreshold;
-    m_lastTick = now;
     const auto all = servers;
     for (const auto &[id, server] : all) {
         if (stalled)
             server->noteLocalStall(now);
         server->maintain();
     }
-    if (share.observe(members, now))
+    const bool wasAlone = m_lastTick - m_startedAt >= aloneAfter;
+    const bool isAlone = now - m_startedAt >= aloneAfter;
+    if (share.observe(members, now) || (members.empty() && isAlone && !wasAlone))
         updateShares();
+    m_lastTick = now;
     const auto old = retired;
     for (const auto &server : old)
         server->maintain();
--- a/lib/gateway/gateway_state.h
+++ b/lib/gateway/gateway_state.h
@@ -97,6 +97,7 @@
     std::string healthPathOf(const service_name &service) const;
     void updateShare(backend_server &server) const;
 
+    time_point m_startedAt;
     time_point m_lastTick;
     timer m_timer;
 };
--- a/lib/gateway/instance_directory.cpp
+++ b/lib/gateway/instance_directory.cpp
@@ -10,14 +10,15 @@
 
 namespace {
 
-constexpr const char *instanceKind = "instances";
 constexpr const char *peersField = "peers";
 constexpr const char *dataCentreField = "dataCentre";
 /// Instances are replaced now and then; shares may be this old. Each read is a priced call.
 constexpr duration readInterval = seconds(30);
-/// Instances that start together have entered after the first time, or after the second one.
-constexpr duration firstRead = milliseconds(800);
+/// Most instances that start together have entered after the first time, all after the second one.
+constexpr duration soonRead = milliseconds(1200);
 constexpr duration secondRead = seconds(4);
+/// An instance that hears of nobody reads the store itself after this time.
+constexpr duration aloneRead = seconds(3);
 constexpr duration retryDelay = seconds(1);
 
 std::string textOf(const nlohmann::json &j, const char *field)
@@ -58,13 +59,43 @@
 
 instance_directory::~instance_directory() = default;
 
-void instance_directory::start(bool firstStart)
+void instance_directory::start(first_read when)
 {
     enter();
-    if (firstStart)
-        again(firstRead, [this] { readAll(); }, m_readTimer);
-    else
-        readAll();
+    switch (when) {
+    case first_read::AtOnce:
+        return readAll();
+    case first_read::Soon:
+        return again(soonRead, [this] { readAll(); }, m_readTimer);
+    case first_read::IfAlone:
+        return again(aloneRead, [this] { readAll(); }, m_readTimer);
+    }
+}
+
+void instance_directory::setReading(bool reading)
+{
+    if (m_reading == reading)
+        return;
+    m_reading = reading;
+    if (m_isKnown)
+        readLater();
+}
+
+void instance_directory::readLater()
+{
+    m_readTimer.cancel();
+    if (!m_reading)
+        return;
+    again(std::exchange(m_readAgain, false) ? secondRead : readInterval, [this] { readAll(); },
+          m_readTimer);
+}
+
+void instance_directory::merge(const std::vector<platform_object> &objects, object_version at)
+{
+    if (at <= m_at)
+        return;
+    take(objects, at);
+    readLater();
 }
 
 void instance_directory::again(duration delay, event_loop::task next, timer &slot)
@@ -114,10 +145,18 @@
         again(retryDelay, [this] { readAll(); }, m_readTimer);
         return;
     }
+    take(read.value().changed, read.value().next);
+    readLater();
+}
+
+void instance_directory::take(const std::vector<platform_object> &objects, object_version at)
+{
     m_isKnown = true;
+    m_objects = objects;
+    m_at = at;
     m_members.clear();
     m_members.emplace(m_self.id, m_self);
-    for (const auto &object : read.value().changed) {
+    for (const auto &object : objects) {
         if (object.key.name == m_self.id.value()) {
             m_own = object.version;
             continue;
@@ -126,8 +165,6 @@
             m_members.emplace(m->id, std::move(*m));
     }
     m_onMembers(m_members);
-    again(std::exchange(m_readAgain, false) ? secondRead : readInterval, [this] { readAll(); },
-          m_readTimer);
 }
 
 void instance_directory::leave()
--- a/lib/gateway/instance_directory.h
+++ b/lib/gateway/instance_directory.h
@@ -9,11 +9,15 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace peridotwheel {
 
 class decision_log;
 
+/// Kind of the objects in the store.
+constexpr const char *instanceKind = "instances";
+
 /// The instances that share the limits of servers, each as one object in the store that it writes
 /// at its start and removes at its end.
 ///
@@ -29,8 +33,20 @@
     instance_directory &operator=(const instance_directory &) = delete;
     ~instance_directory();
 
-    /// With \p firstStart, the others enter only now, and are read after a short while.
-    void start(bool firstStart);
+    /// When the others are read first.
+    enum class first_read {
+        AtOnce,
+        Soon,       ///< All start together: once most have entered, for those that wait.
+        IfAlone,    ///< Others read; only if this instance hears of nobody.
+    };
+    /// Enters the directory and begins to read it.
+    void start(first_read when);
+    /// Whether this instance reads the store now and then, or leaves that to others.
+    void setReading(bool reading);
+    /// Takes over what another instance has read, if it is newer.
+    void merge(const std::vector<platform_object> &objects, object_version at);
+    const std::vector<platform_object> &objects() const { return m_objects; }
+    object_version at() const { return m_at; }
     /// Removes the own object; nothing follows if that fails.
     void leave();
     const member &self() const { return m_self; }
@@ -43,6 +59,8 @@
     void onEntered(const result<object_version> &written);
     void readAll();
     void onRead(const result<watch_result> &read);
+    void take(const std::vector<platform_object> &objects, object_version at);
+    void readLater();
     void again(duration delay, event_loop::task next, timer &slot);
 
     event_loop &m_loop;
@@ -52,7 +70,10 @@
     random_source m_random;
     std::function<void(const member_map &)> m_onMembers;
     member_map m_members;
+    std::vector<platform_object> m_objects;
+    object_version m_at;
     bool m_isKnown = false;
+    bool m_reading = false;
     bool m_readAgain = true;
     std::optional<object_version> m_own;
     timer m_enterTimer;
--- a/lib/gateway/view_codec.cpp
+++ b/lib/gateway/view_codec.cpp
@@ -60,6 +60,7 @@
     wire::ViewRequest out;
     out.configurationVersion = static_cast<std::int64_t>(position.configuration.value());
     out.serversAt = static_cast<std::int64_t>(position.serversAt.value());
+    out.instancesAt = static_cast<std::int64_t>(position.instancesAt.value());
     return encode(out);
 }
 
@@ -68,7 +69,8 @@
     BOOST_OUTCOME_TRY(in, decode<wire::ViewRequest>(text));
     return view_position{
             configuration_version(static_cast<std::uint64_t>(in.configurationVersion)),
-            object_version(static_cast<std::uint64_t>(in.serversAt))};
+            object_version(static_cast<std::uint64_t>(in.serversAt)),
+            object_version(static_cast<std::uint64_t>(in.instancesAt))};
 }
 
 std::string encodeSnapshot(const view_snapshot &snapshot)
@@ -81,21 +83,28 @@
         out.__set_serversAt(static_cast<std::int64_t>(snapshot.serversAt.value()));
     for (const auto &server : snapshot.servers)
         out.servers.push_back(toWire(server));
+    if (snapshot.instancesAt.value() != 0)
+        out.__set_instancesAt(static_cast<std::int64_t>(snapshot.instancesAt.value()));
+    for (const auto &instance : snapshot.instances)
+        out.instances.push_back(toWire(instance));
     return encode(out);
 }
 
-result<view_snapshot> decodeSnapshot(const std::string &text, const std::string &configurationKind,
-                                     const std::string &serverKind)
+result<view_snapshot> decodeSnapshot(const std::string &text, const view_kinds &kinds)
 {
     BOOST_OUTCOME_TRY(in, decode<wire::ViewReply>(text));
     view_snapshot out;
     out.age = milliseconds(std::max<std::int64_t>(in.ageMs, 0));
     if (in.__isset.configuration)
-        out.configuration = fromWire(in.configuration, configurationKind);
+        out.configuration = fromWire(in.configuration, kinds.configuration);
     if (in.__isset.serversAt)
         out.serversAt = object_version(static_cast<std::uint64_t>(in.serversAt));
     for (const auto &server : in.servers)
-        out.servers.push_back(fromWire(server, serverKind));
+        out.servers.push_back(fromWire(server, kinds.servers));
+    if (in.__isset.instancesAt)
+        out.instancesAt = object_version(static_cast<std::uint64_t>(in.instancesAt));
+    for (const auto &instance : in.instances)
+        out.instances.push_back(fromWire(instance, kinds.instances));
     return out;
 }
 
--- a/lib/gateway/view_codec.h
+++ b/lib/gateway/view_codec.h
@@ -12,14 +12,20 @@
 {
     configuration_version configuration;
     object_version serversAt;
+    object_version instancesAt;
 };
 
 std::string encodePosition(const view_position &position);
 result<view_position> decodePosition(const std::string &text);
 std::string encodeSnapshot(const view_snapshot &snapshot);
-/// Decoded objects carry the kinds that \p documents names.
-result<view_snapshot> decodeSnapshot(const std::string &text, const std::string &configurationKind,
-                                     const std::string &serverKind);
+/// Decoded objects carry these kinds.
+struct view_kinds
+{
+    std::string configuration;
+    std::string servers;
+    std::string instances;
+};
+result<view_snapshot> decodeSnapshot(const std::string &text, const view_kinds &kinds);
 
 } // namespace peridotwheel
 
--- a/lib/gateway/view_exchange.cpp
+++ b/lib/gateway/view_exchange.cpp
@@ -1,5 +1,6 @@
 #include "view_exchange.h"
 
+#include "instance_directory.h"
 #include "peridotwheel/gateway/decision_log.h"
 #include "view_codec.h"
 #include "watch_duty.h"
@@ -19,15 +20,16 @@
 
 } // namespace
 
-view_exchange::view_exchange(event_loop &loop, cluster_view &view, http_client &http,
-                             decision_log &log, std::uint64_t seed, member self,
+view_exchange::view_exchange(event_loop &loop, cluster_view &view, instance_directory &directory,
+                             http_client &http, decision_log &log, std::uint64_t seed,
                              duration staleAfter)
     : m_loop(loop)
     , m_view(view)
+    , m_directory(directory)
     , m_http(http)
     , m_log(log)
     , m_random(seed)
-    , m_self(std::move(self))
+    , m_self(directory.self())
     , m_staleAfter(staleAfter)
     , m_startedAt(loop.now())
 {
@@ -71,6 +73,7 @@
     input.viewAge = std::min(m_view.age(), input.sinceStart);
     input.staleAfter = m_staleAfter;
     m_view.setWatching(shouldWatch(input));
+    m_directory.setReading(m_view.isWatching());
 }
 
 void view_exchange::step()
@@ -116,7 +119,7 @@
     http_request request;
     request.method = http_method::Post;
     request.path = viewPath;
-    request.body = encodePosition({m_view.version(), m_view.serversAt()});
+    request.body = encodePosition({m_view.version(), m_view.serversAt(), m_directory.at()});
     m_http.send(to, request, askTimeout,
                 [this, to, isHome, alive = std::weak_ptr<int>(m_alive)](
                         const http_outcome &outcome) {
@@ -135,8 +138,8 @@
         return;
     }
     const auto &documents = m_view.documents();
-    const auto read = decodeSnapshot(outcome.reply.body, documents.configurationKind,
-                                     documents.serverKind);
+    const auto read = decodeSnapshot(
+            outcome.reply.body, {documents.configurationKind, documents.serverKind, instanceKind});
     if (!read) {
         m_log.decision("peer_view_refused").add("reason", read.error().message);
         return;
@@ -144,6 +147,7 @@
     if (isHome)
         m_homeFails = read.value().age > m_staleAfter;
     m_view.merge(read.value());
+    m_directory.merge(read.value().instances, read.value().instancesAt);
 }
 
 void view_exchange::answer(const opaque_request &request, client_exchange &client) const
@@ -160,6 +164,10 @@
         all.serversAt = object_version();
         all.servers.clear();
     }
+    if (m_directory.at() > position.value().instancesAt) {
+        all.instancesAt = m_directory.at();
+        all.instances = m_directory.objects();
+    }
     client.reply({200, {}, encodeSnapshot(all)});
 }
 
--- a/lib/gateway/view_exchange.h
+++ b/lib/gateway/view_exchange.h
@@ -13,6 +13,7 @@
 namespace peridotwheel {
 
 class decision_log;
+class instance_directory;
 
 /// Keeps the view of this instance fresh: by watching the store, or by asking an instance of the
 /// same data centre that does, or any other one while those do not answer.
@@ -20,8 +21,8 @@
 {
 public:
     /// \p staleAfter is the age of the view beyond which the present watchers do not suffice.
-    view_exchange(event_loop &loop, cluster_view &view, http_client &http, decision_log &log,
-                  std::uint64_t seed, member self, duration staleAfter);
+    view_exchange(event_loop &loop, cluster_view &view, instance_directory &directory,
+                  http_client &http, decision_log &log, std::uint64_t seed, duration staleAfter);
     view_exchange(const view_exchange &) = delete;
     view_exchange &operator=(const view_exchange &) = delete;
     ~view_exchange();
@@ -43,6 +44,7 @@
 
     event_loop &m_loop;
     cluster_view &m_view;
+    instance_directory &m_directory;
     http_client &m_http;
     decision_log &m_log;
     random_source m_random;
--- a/lib/gateway/watch_duty.cpp
+++ b/lib/gateway/watch_duty.cpp
@@ -2,6 +2,9 @@
 
 #include "peridotwheel/platform/watcher_election.h"
 
+#include <algorithm>
+#include <set>
+
 namespace peridotwheel {
 
 namespace {
@@ -10,8 +13,20 @@
 constexpr const char *watchedKind = "view";
 /// One more instance of each data centre watches for each such time of a view beyond its age.
 constexpr duration recruitInterval = seconds(1);
+/// Watchers in all data centres together, but at least one in each: several, so that the store's
+/// lost answers and refusals rarely meet all of them at once.
+constexpr std::size_t watchersInAll = 6;
 /// A new instance that nobody tells anything calls the store itself after this time.
-constexpr duration aloneAfter = milliseconds(1200);
+constexpr duration aloneAfter = milliseconds(2500);
+
+std::size_t watchersHere(const member_map &members)
+{
+    std::set<data_centre_id> dataCentres;
+    for (const auto &[id, m] : members)
+        dataCentres.insert(m.dataCentre);
+    const std::size_t count = std::max<std::size_t>(dataCentres.size(), 1);
+    return std::clamp<std::size_t>(watchersInAll / count, 1, watchersPerDataCentre);
+}
 
 } // namespace
 
@@ -19,7 +34,7 @@
 {
     if (!input.knowsMembers)
         return input.viewAge >= aloneAfter;
-    std::size_t watchers = watchersPerDataCentre;
+    std::size_t watchers = watchersHere(input.members);
     if (input.viewAge > input.staleAfter)
         watchers += 1 + static_cast<std::size_t>((input.viewAge - input.staleAfter) /
                                                  recruitInterval);
@@ -29,8 +44,9 @@
 std::vector<member> watchersOf(const member_map &members, const data_centre_id &dataCentre)
 {
     std::vector<member> out;
+    const std::size_t watchers = watchersHere(members);
     for (const auto &[id, m] : members) {
-        if (m.dataCentre == dataCentre && isWatcher(members, m, watchedKind))
+        if (m.dataCentre == dataCentre && isWatcher(members, m, watchedKind, watchers))
             out.push_back(m);
     }
     return out;
--- a/lib/peer/gen/peer_types.cpp
+++ b/lib/peer/gen/peer_types.cpp
@@ -1986,6 +1986,10 @@
 void ViewRequest::__set_serversAt(const int64_t val) {
   this->serversAt = val;
 }
+
+void ViewRequest::__set_instancesAt(const int64_t val) {
+  this->instancesAt = val;
+}
 std::ostream& operator<<(std::ostream& out, const ViewRequest& obj)
 {
   obj.printTo(out);
@@ -2007,6 +2011,7 @@
 
   bool isset_configurationVersion = false;
   bool isset_serversAt = false;
+  bool isset_instancesAt = false;
 
   while (true)
   {
@@ -2032,6 +2037,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->instancesAt);
+          isset_instancesAt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2045,6 +2058,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_serversAt)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_instancesAt)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -2061,6 +2076,10 @@
   xfer += oprot->writeI64(this->serversAt);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("instancesAt", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->instancesAt);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2070,15 +2089,18 @@
   using ::std::swap;
   swap(a.configurationVersion, b.configurationVersion);
   swap(a.serversAt, b.serversAt);
+  swap(a.instancesAt, b.instancesAt);
 }
 
 ViewRequest::ViewRequest(const ViewRequest& other60) noexcept {
   configurationVersion = other60.configurationVersion;
   serversAt = other60.serversAt;
+  instancesAt = other60.instancesAt;
 }
 ViewRequest& ViewRequest::operator=(const ViewRequest& other61) noexcept {
   configurationVersion = other61.configurationVersion;
   serversAt = other61.serversAt;
+  instancesAt = other61.instancesAt;
   return *this;
 }
 void ViewRequest::printTo(std::ostream& out) const {
@@ -2086,6 +2108,7 @@
   out << "ViewRequest(";
   out << "configurationVersion=" << to_string(configurationVersion);
   out << ", " << "serversAt=" << to_string(serversAt);
+  out << ", " << "instancesAt=" << to_string(instancesAt);
   out << ")";
 }
 
@@ -2249,6 +2272,15 @@
 void ViewReply::__set_ageMs(const int64_t val) {
   this->ageMs = val;
 }
+
+void ViewReply::__set_instancesAt(const int64_t val) {
+  this->instancesAt = val;
+__isset.instancesAt = true;
+}
+
+void ViewReply::__set_instances(const std::vector<ViewObject> & val) {
+  this->instances = val;
+}
 std::ostream& operator<<(std::ostream& out, const ViewReply& obj)
 {
   obj.printTo(out);
@@ -2270,6 +2302,7 @@
 
   bool isset_servers = false;
   bool isset_ageMs = false;
+  bool isset_instances = false;
 
   while (true)
   {
@@ -2323,6 +2356,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->instancesAt);
+          this->__isset.instancesAt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->instances.clear();
+            uint32_t _size69;
+            ::apache::thrift::protocol::TType _etype72;
+            xfer += iprot->readListBegin(_etype72, _size69);
+            this->instances.resize(_size69);
+            uint32_t _i73;
+            for (_i73 = 0; _i73 < _size69; ++_i73)
+            {
+              xfer += this->instances[_i73].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_instances = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2336,6 +2397,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_ageMs)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_instances)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -2357,10 +2420,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ViewObject> ::const_iterator _iter69;
-    for (_iter69 = this->servers.begin(); _iter69 != this->servers.end(); ++_iter69)
+    std::vector<ViewObject> ::const_iterator _iter74;
+    for (_iter74 = this->servers.begin(); _iter74 != this->servers.end(); ++_iter74)
     {
-      xfer += (*_iter69).write(oprot);
+      xfer += (*_iter74).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2370,6 +2433,23 @@
   xfer += oprot->writeI64(this->ageMs);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.instancesAt) {
+    xfer += oprot->writeFieldBegin("instancesAt", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->instancesAt);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
+    std::vector<ViewObject> ::const_iterator _iter75;
+    for (_iter75 = this->instances.begin(); _iter75 != this->instances.end(); ++_iter75)
+    {
+      xfer += (*_iter75).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2381,22 +2461,28 @@
   swap(a.serversAt, b.serversAt);
   swap(a.servers, b.servers);
   swap(a.ageMs, b.ageMs);
+  swap(a.instancesAt, b.instancesAt);
+  swap(a.instances, b.instances);
   swap(a.__isset, b.__isset);
 }
 
-ViewReply::ViewReply(const ViewReply& other70) {
-  configuration = other70.configuration;
-  serversAt = other70.serversAt;
-  servers = other70.servers;
-  ageMs = other70.ageMs;
-  __isset = other70.__isset;
-}
-ViewReply& ViewReply::operator=(const ViewReply& other71) {
-  configuration = other71.configuration;
-  serversAt = other71.serversAt;
-  servers = other71.servers;
-  ageMs = other71.ageMs;
-  __isset = other71.__isset;
+ViewReply::ViewReply(const ViewReply& other76) {
+  configuration = other76.configuration;
+  serversAt = other76.serversAt;
+  servers = other76.servers;
+  ageMs = other76.ageMs;
+  instancesAt = other76.instancesAt;
+  instances = other76.instances;
+  __isset = other76.__isset;
+}
+ViewReply& ViewReply::operator=(const ViewReply& other77) {
+  configuration = other77.configuration;
+  serversAt = other77.serversAt;
+  servers = other77.servers;
+  ageMs = other77.ageMs;
+  instancesAt = other77.instancesAt;
+  instances = other77.instances;
+  __isset = other77.__isset;
   return *this;
 }
 void ViewReply::printTo(std::ostream& out) const {
@@ -2406,6 +2492,8 @@
   out << ", " << "serversAt="; (__isset.serversAt ? (out << to_string(serversAt)) : (out << "<null>"));
   out << ", " << "servers=" << to_string(servers);
   out << ", " << "ageMs=" << to_string(ageMs);
+  out << ", " << "instancesAt="; (__isset.instancesAt ? (out << to_string(instancesAt)) : (out << "<null>"));
+  out << ", " << "instances=" << to_string(instances);
   out << ")";
 }
 
--- a/lib/peer/gen/peer_types.h
+++ b/lib/peer/gen/peer_types.h
@@ -664,23 +664,29 @@
   ViewRequest& operator=(const ViewRequest&) noexcept;
   ViewRequest() noexcept
               : configurationVersion(0),
-                serversAt(0) {
+                serversAt(0),
+                instancesAt(0) {
   }
 
   virtual ~ViewRequest() noexcept;
   int64_t configurationVersion;
   int64_t serversAt;
+  int64_t instancesAt;
 
   void __set_configurationVersion(const int64_t val);
 
   void __set_serversAt(const int64_t val);
 
+  void __set_instancesAt(const int64_t val);
+
   bool operator == (const ViewRequest & rhs) const
   {
     if (!(configurationVersion == rhs.configurationVersion))
       return false;
     if (!(serversAt == rhs.serversAt))
       return false;
+    if (!(instancesAt == rhs.instancesAt))
+      return false;
     return true;
   }
   bool operator != (const ViewRequest &rhs) const {
@@ -749,9 +755,10 @@
 std::ostream& operator<<(std::ostream& out, const ViewObject& obj);
 
 typedef struct _ViewReply__isset {
-  _ViewReply__isset() : configuration(false), serversAt(false) {}
+  _ViewReply__isset() : configuration(false), serversAt(false), instancesAt(false) {}
   bool configuration :1;
   bool serversAt :1;
+  bool instancesAt :1;
 } _ViewReply__isset;
 
 class ViewReply : public virtual ::apache::thrift::TBase {
@@ -761,7 +768,8 @@
   ViewReply& operator=(const ViewReply&);
   ViewReply() noexcept
             : serversAt(0),
-              ageMs(0) {
+              ageMs(0),
+              instancesAt(0) {
   }
 
   virtual ~ViewReply() noexcept;
@@ -769,6 +777,8 @@
   int64_t serversAt;
   std::vector<ViewObject>  servers;
   int64_t ageMs;
+  int64_t instancesAt;
+  std::vector<ViewObject>  instances;
 
   _ViewReply__isset __isset;
 
@@ -780,6 +790,10 @@
 
   void __set_ageMs(const int64_t val);
 
+  void __set_instancesAt(const int64_t val);
+
+  void __set_instances(const std::vector<ViewObject> & val);
+
   bool operator == (const ViewReply & rhs) const
   {
     if (__isset.configuration != rhs.__isset.configuration)
@@ -794,6 +808,12 @@
       return false;
     if (!(ageMs == rhs.ageMs))
       return false;
+    if (__isset.instancesAt != rhs.__isset.instancesAt)
+      return false;
+    else if (__isset.instancesAt && !(instancesAt == rhs.instancesAt))
+      return false;
+    if (!(instances == rhs.instances))
+      return false;
     return true;
   }
   bool operator != (const ViewReply &rhs) const {
--- a/proto/peer.thrift
+++ b/proto/peer.thrift
@@ -91,6 +91,7 @@
 struct ViewRequest {
   1: required i64 configurationVersion
   2: required i64 serversAt
+  3: required i64 instancesAt
 }
 
 // An object of the platform's store, as one instance read it.
@@ -100,11 +101,13 @@
   3: required string value
 }
 
-// The reply to a ViewRequest. Servers come all or not at all.
+// The reply to a ViewRequest. Servers come all or not at all, and so do instances.
 struct ViewReply {
   1: optional ViewObject configuration
   2: optional i64 serversAt
   3: required list<ViewObject> servers
   // Milliseconds since the store was read for this view.
   4: required i64 ageMs
+  5: optional i64 instancesAt
+  6: required list<ViewObject> instances
 }
--- /dev/null
+++ b/unittests/gateway/cluster_view_test.cpp
@@ -0,0 +1,315 @@
+#include "fixtures/fake_platform.h"
+#include "peridotwheel/counters/counter_set.h"
+#include "peridotwheel/gateway/cluster_view.h"
+#include "peridotwheel/gateway/decision_log.h"
+#include "peridotwheel/support/manual_loop.h"
+
+#include <gtest/gtest.h>
+
+using namespace peridotwheel;
+
+namespace {
+
+/// A store whose lists, watches and faults the test controls.
+class scripted_store : public platform_client
+{
+public:
+    explicit scripted_store(event_loop &loop)
+        : m_loop(loop)
+    {
+    }
+
+    void get(const object_key &, hook<platform_object>) override {}
+    void put(const object_key &, const std::string &, write_condition,
+             hook<object_version>) override
+    {
+    }
+    void remove(const object_key &, object_version, hook<void>) override {}
+    void instances(hook<instance_list>) override {}
+
+    void list(const std::string &kind, hook<watch_result> done) override
+    {
+        ++lists;
+        later([this, kind, done] {
+            if (away)
+                return done(failure(error_kind::Unavailable, "away"));
+            watch_result all;
+            all.next = revision;
+            for (const auto &[name, object] : objects[kind])
+                all.changed.push_back(object);
+            done(std::move(all));
+        });
+    }
+
+    void watch(const std::string &kind, object_version since, duration wait,
+               hook<watch_result> done) override
+    {
+        ++watches;
+        if (away) {
+            later([done] { done(failure(error_kind::Unavailable, "away")); });
+            return;
+        }
+        if (losesAnswers) {
+            m_timers.push_back(m_loop.schedule(wait + milliseconds(500), [done] {
+                done(failure(error_kind::TimedOut, "no reply"));
+            }));
+            return;
+        }
+        m_timers.push_back(m_loop.schedule(milliseconds(50), [this, kind, since, done] {
+            watch_result changes;
+            changes.next = revision;
+            changes.compacted = since < historyFrom;
+            for (const auto &[name, object] : objects[kind]) {
+                if (object.version > since)
+                    changes.changed.push_back(object);
+            }
+            for (const auto &[at, key] : removals) {
+                if (at > since && key.kind == kind)
+                    changes.removed.push_back(key);
+            }
+            done(std::move(changes));
+        }));
+    }
+
+    void write(const std::string &kind, const std::string &name, const std::string &value)
+    {
+        revision = object_version(revision.value() + 1);
+        objects[kind][name] = {{kind, name}, revision, value};
+    }
+
+    void erase(const std::string &kind, const std::string &name)
+    {
+        revision = object_version(revision.value() + 1);
+        objects[kind].erase(name);
+        removals.emplace_back(revision, object_key{kind, name});
+    }
+
+    std::map<std::string, std::map<std::string, platform_object>> objects;
+    std::vector<std::pair<object_version, object_key>> removals;
+    object_version revision{10};
+    /// Watches from before this revision have to list anew.
+    object_version historyFrom{0};
+    bool away = false;
+    bool losesAnswers = false;
+    int lists = 0;
+    int watches = 0;
+
+private:
+    void later(event_loop::task fn)
+    {
+        m_timers.push_back(m_loop.schedule(milliseconds(4), std::move(fn)));
+    }
+
+    event_loop &m_loop;
+    std::vector<timer> m_timers;
+};
+
+/// A view whose configurations are version numbers and whose servers are "SERVICE" or "leaving".
+class cluster_view_test : public testing::Test
+{
+protected:
+    cluster_view_test()
+        : log(loop, "test", [](std::string_view text) { return text.size(); })
+        , view(loop, store, counters, log, 1, seconds(3),
+               {"config", "main", "servers", &readNumber, &readName},
+               {[this](const route_table_ptr &routes) {
+                    versions.push_back(routes->version().value());
+                },
+                [this](const backend_map &servers) { present = servers; }})
+    {
+    }
+
+    static result<route_configuration> readNumber(const platform_object &object)
+    {
+        if (object.value.empty() || object.value[0] < '0' || object.value[0] > '9')
+            return failure(error_kind::InvalidArgument, "not a number");
+        route_configuration c;
+        c.version = configuration_version(std::stoul(object.value));
+        return c;
+    }
+
+    static result<backend_record> readName(const platform_object &object)
+    {
+        if (object.value.empty())
+            return failure(error_kind::InvalidArgument, "empty");
+        backend_record record;
+        record.id = server_id(object.key.name);
+        record.service = service_name(object.value);
+        record.draining = object.value == "leaving";
+        return record;
+    }
+
+    bool isKnown(const std::string &id) const { return present.count(server_id(id)) != 0; }
+
+    manual_loop loop;
+    counter_set counters;
+    decision_log log;
+    scripted_store store{loop};
+    std::vector<std::uint64_t> versions;
+    backend_map present;
+    cluster_view view;
+};
+
+} // namespace
+
+TEST_F(cluster_view_test, followsTheStore)
+{
+    store.write("config", "main", "7");
+    store.write("servers", "a", "s0");
+    view.setWatching(true);
+    loop.advance(seconds(1));
+    EXPECT_EQ(versions, std::vector<std::uint64_t>{7});
+    EXPECT_TRUE(isKnown("a"));
+    store.write("servers", "a", "leaving");
+    loop.advance(seconds(1));
+    EXPECT_TRUE(present.at(server_id("a")).draining);
+    store.erase("servers", "a");
+    loop.advance(seconds(1));
+    EXPECT_FALSE(isKnown("a"));
+}
+
+// Stale reads, slow peers and reordered answers must not take a configuration back.
+TEST_F(cluster_view_test, neverReturnsToAnOlderConfiguration)
+{
+    store.write("config", "main", "9");
+    view.setWatching(true);
+    loop.advance(seconds(1));
+    store.write("config", "main", "8");
+    loop.advance(seconds(1));
+    view_snapshot old;
+    old.configuration = platform_object{{"config", "main"}, object_version(99), "3"};
+    view.merge(old);
+    EXPECT_EQ(versions, std::vector<std::uint64_t>{9});
+}
+
+// An entry that cannot be read names no server; the others hold.
+TEST_F(cluster_view_test, leavesOutMalformedEntries)
+{
+    store.write("servers", "bad", "");
+    store.write("servers", "good", "s0");
+    store.write("config", "other", "12");
+    store.write("config", "main", "no number");
+    view.setWatching(true);
+    loop.advance(seconds(1));
+    EXPECT_FALSE(isKnown("bad"));
+    EXPECT_TRUE(isKnown("good"));
+    EXPECT_TRUE(versions.empty());
+}
+
+// An entry that turns malformed must not leave the server of its former content in use.
+TEST_F(cluster_view_test, dropsAServerWhoseEntryBecomesMalformed)
+{
+    store.write("servers", "a", "s0");
+    view.setWatching(true);
+    loop.advance(seconds(1));
+    store.write("servers", "a", "");
+    loop.advance(seconds(1));
+    EXPECT_FALSE(isKnown("a"));
+}
+
+// Entries lapse while the store is away although their servers live.
+TEST_F(cluster_view_test, keepsServersThatAreMissingRightAfterAnOutage)
+{
+    store.write("servers", "back", "s0");
+    store.write("servers", "gone", "s0");
+    view.setWatching(true);
+    loop.advance(seconds(1));
+    store.away = true;
+    loop.advance(seconds(5));
+    store.erase("servers", "back");
+    store.erase("servers", "gone");
+    store.historyFrom = store.revision;
+    store.away = false;
+    loop.advance(seconds(2));
+    EXPECT_TRUE(isKnown("back"));
+    store.write("servers", "back", "s0");
+    loop.advance(seconds(2));
+    EXPECT_TRUE(isKnown("back"));
+    EXPECT_FALSE(isKnown("gone"));
+}
+
+// A removal in calm times is final at once: the server may serve only a moment longer.
+TEST_F(cluster_view_test, dropsARemovedServerAtOnceInCalmTimes)
+{
+    store.write("servers", "a", "s0");
+    view.setWatching(true);
+    loop.advance(seconds(1));
+    store.erase("servers", "a");
+    loop.advance(milliseconds(700));
+    EXPECT_FALSE(isKnown("a"));
+}
+
+// History is gone: what drained in the gap shows in the new list only.
+TEST_F(cluster_view_test, listsAnewWhenTheHistoryIsGone)
+{
+    store.write("servers", "a", "s0");
+    store.write("servers", "b", "s0");
+    view.setWatching(true);
+    loop.advance(seconds(1));
+    store.write("servers", "a", "leaving");
+    store.erase("servers", "b");
+    store.removals.clear();
+    store.historyFrom = store.revision;
+    loop.advance(seconds(1));
+    EXPECT_TRUE(present.at(server_id("a")).draining);
+    EXPECT_FALSE(isKnown("b"));
+}
+
+// The store may lose the answer to a watch on a connection that stays open. The change has to be in
+// force within 3 s nevertheless.
+TEST_F(cluster_view_test, appliesAChangeInTimeAlthoughAWatchIsLost)
+{
+    store.write("servers", "a", "s0");
+    view.setWatching(true);
+    loop.advance(seconds(1));
+    store.losesAnswers = true;
+    loop.advance(milliseconds(400));
+    store.write("servers", "a", "leaving");
+    store.losesAnswers = false;
+    loop.advance(milliseconds(2900));
+    EXPECT_TRUE(present.at(server_id("a")).draining);
+}
+
+// A new set of shards is named before this instance has heard of their servers.
+TEST_F(cluster_view_test, readsTheServersAgainWhenAServiceHasNone)
+{
+    view.setWatching(true);
+    loop.advance(seconds(1));
+    const int before = store.lists;
+    view.refreshServers("test");
+    view.refreshServers("test");
+    loop.advance(milliseconds(100));
+    EXPECT_EQ(store.lists, before + 1);
+}
+
+// While the store turns this instance away, others know more.
+TEST_F(cluster_view_test, takesOverANewerViewOfAnotherInstance)
+{
+    view_snapshot other;
+    other.configuration = platform_object{{"config", "main"}, object_version(50), "5"};
+    other.serversAt = object_version(60);
+    other.servers = {{{"servers", "a"}, object_version(55), "s0"}};
+    other.age = milliseconds(300);
+    loop.advance(seconds(10));
+    view.merge(other);
+    EXPECT_EQ(versions, std::vector<std::uint64_t>{5});
+    EXPECT_TRUE(isKnown("a"));
+    EXPECT_EQ(view.age(), milliseconds(300));
+    view_snapshot older;
+    older.serversAt = object_version(40);
+    view.merge(older);
+    EXPECT_TRUE(isKnown("a"));
+}
+
+TEST_F(cluster_view_test, tellsWhenTheStoreIsAway)
+{
+    view.setWatching(true);
+    loop.advance(seconds(1));
+    EXPECT_FALSE(view.storeIsAway());
+    store.away = true;
+    loop.advance(seconds(4));
+    EXPECT_TRUE(view.storeIsAway());
+    store.away = false;
+    loop.advance(seconds(3));
+    EXPECT_FALSE(view.storeIsAway());
+}
--- /dev/null
+++ b/unittests/gateway/view_sharing_test.cpp
@@ -0,0 +1,118 @@
+#include "lib/gateway/view_codec.h"
+#include "lib/gateway/watch_duty.h"
+
+#include <gtest/gtest.h>
+
+using namespace peridotwheel;
+
+namespace {
+
+member_map fleet(int dataCentres, int each)
+{
+    member_map members;
+    for (int d = 0; d < dataCentres; ++d) {
+        for (int i = 0; i < each; ++i) {
+            member m;
+            m.id = instance_id("instance-" + std::to_string(d) + "-" + std::to_string(i));
+            m.dataCentre = data_centre_id("dc-" + std::to_string(d));
+            members.emplace(m.id, m);
+        }
+    }
+    return members;
+}
+
+std::size_t watchersAt(const member_map &members, duration viewAge)
+{
+    std::size_t count = 0;
+    for (const auto &[id, m] : members) {
+        watch_duty_input input{members, m};
+        input.knowsMembers = true;
+        input.sinceStart = seconds(100);
+        input.viewAge = viewAge;
+        input.staleAfter = seconds(3);
+        count += shouldWatch(input) ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace
+
+// Every watcher is woken by every change, and each wake-up is a call to the store.
+TEST(watch_duty, isThatOfFewInstances)
+{
+    EXPECT_EQ(watchersAt(fleet(3, 3), seconds(1)), 6U);
+    EXPECT_EQ(watchersAt(fleet(6, 12), seconds(1)), 6U);
+    EXPECT_EQ(watchersAt(fleet(10, 530), seconds(1)), 10U);
+}
+
+// The watchers of a data centre may be lost or turned away by the store: others step in one by one.
+TEST(watch_duty, growsAsTheViewGrowsOld)
+{
+    const member_map members = fleet(6, 12);
+    const std::size_t usual = watchersAt(members, seconds(3));
+    const std::size_t soon = watchersAt(members, milliseconds(3100));
+    const std::size_t later = watchersAt(members, seconds(6));
+    EXPECT_GT(soon, usual);
+    EXPECT_GT(later, soon);
+    EXPECT_LT(later, members.size());
+}
+
+// Nobody tells a new instance anything: it has to look for itself.
+TEST(watch_duty, fallsToAnInstanceThatHearsOfNobody)
+{
+    const member_map nobody;
+    member self;
+    watch_duty_input input{nobody, self};
+    input.viewAge = seconds(1);
+    EXPECT_FALSE(shouldWatch(input));
+    input.viewAge = seconds(4);
+    EXPECT_TRUE(shouldWatch(input));
+}
+
+TEST(watch_duty, namesTheWatchersOfADataCentre)
+{
+    const member_map members = fleet(3, 5);
+    const auto watchers = watchersOf(members, data_centre_id("dc-1"));
+    ASSERT_EQ(watchers.size(), 2U);
+    for (const member &m : watchers)
+        EXPECT_EQ(m.dataCentre, data_centre_id("dc-1"));
+}
+
+TEST(view_codec, keepsAViewWhole)
+{
+    view_snapshot view;
+    view.configuration = platform_object{{"c", "main"}, object_version(7), "{\"version\":3}"};
+    view.serversAt = object_version(11);
+    view.servers = {{{"s", "a"}, object_version(9), "{}"}, {{"s", "b"}, object_version(10), ""}};
+    view.instancesAt = object_version(12);
+    view.instances = {{{"i", "x"}, object_version(1), "{}"}};
+    view.age = milliseconds(1234);
+    const auto read = decodeSnapshot(encodeSnapshot(view), {"c", "s", "i"});
+    ASSERT_TRUE(read) << read.error().message;
+    EXPECT_EQ(read.value().configuration->value, view.configuration->value);
+    EXPECT_EQ(read.value().configuration->key.kind, "c");
+    EXPECT_EQ(read.value().serversAt, view.serversAt);
+    ASSERT_EQ(read.value().servers.size(), 2U);
+    EXPECT_EQ(read.value().servers[1].key.name, "b");
+    EXPECT_EQ(read.value().instances.size(), 1U);
+    EXPECT_EQ(read.value().age, view.age);
+}
+
+TEST(view_codec, keepsAPosition)
+{
+    const view_position position{configuration_version(5), object_version(6), object_version(7)};
+    const auto read = decodePosition(encodePosition(position));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read.value().configuration, position.configuration);
+    EXPECT_EQ(read.value().serversAt, position.serversAt);
+    EXPECT_EQ(read.value().instancesAt, position.instancesAt);
+}
+
+// Whatever arrives at the peers' address must not end the process.
+TEST(view_codec, refusesOtherBytes)
+{
+    EXPECT_FALSE(decodePosition("GET / HTTP/1.1"));
+    EXPECT_FALSE(decodeSnapshot("", {"c", "s", "i"}));
+    const std::string whole = encodePosition({});
+    EXPECT_FALSE(decodePosition(whole.substr(0, whole.size() / 2)));
+}
