--- a/include/peridotwheel/http/stream_server.h
+++ b/include/peridotwheel/http/stream_server.h
@@ -36,6 +36,8 @@
     virtual void reply(const http_reply &r) = 0;
     /// \p hook is called once if the client closes the connection before the reply.
     virtual void onClientGone(std::function<void()> hook) = 0;
+    /// Closes the connection without a reply.
+    virtual void drop() = 0;
 };
 
 using exchange_hook = std::function<void(opaque_request, std::shared_ptr<client_exchange>)>;
--- a/lib/http/stream_server.cpp
+++ b/lib/http/stream_server.cpp
@@ -55,6 +55,7 @@
     void sweep(time_point now);
     void closeIfIdle();
     void reply(const http_reply &r, bool keepAlive, bool isHead);
+    void remove();
 
 private:
     void onData(std::string_view data);
@@ -63,7 +64,6 @@
     void onBroken();
     void start(opaque_request request);
     void refuse(int status, const char *remedy);
-    void remove();
     void linger();
 
     state_ptr m_state;
@@ -108,6 +108,15 @@
 
     void onClientGone(std::function<void()> hook) override { m_gone = std::move(hook); }
 
+    void drop() override
+    {
+        if (m_over)
+            return;
+        finish();
+        if (const auto at = m_connection.lock())
+            at->remove();
+    }
+
     void clientGone()
     {
         if (m_over)
