--- a/unittests/gateway/fake_backends.cpp
+++ b/unittests/gateway/fake_backends.cpp
@@ -92,7 +92,7 @@
         , m_server(at)
         , m_hooks(std::move(hooks))
     {
-        ++m_server.openConnections;
+        m_isOverLimit = ++m_server.openConnections > m_server.maxConnections;
         m_event = m_loop.schedule(m_server.distance, [this] {
             // Hooks may destroy this connection, so copies are called.
             if (m_server.unreachable) {
@@ -100,6 +100,8 @@
                 return closed();
             }
             m_open = true;
+            if (m_isOverLimit)
+                m_reset = m_loop.schedule(milliseconds(1), [this] { reset(); });
             const auto opened = m_hooks.onOpen;
             opened();
         });
@@ -125,6 +127,20 @@
     bool written() const override { return busy(); }
 
 private:
+    void reset()
+    {
+        m_open = false;
+        m_event.cancel();
+        if (!m_done) {
+            const auto closed = m_hooks.onClosed;
+            return closed();
+        }
+        http_outcome outcome;
+        outcome.failure = transport_failure::MayHaveRun;
+        const auto done = std::exchange(m_done, nullptr);
+        done(std::move(outcome));
+    }
+
     void arrive()
     {
         const bool isCheck = m_id == "health";
@@ -175,7 +191,9 @@
     outcome_hook m_done;
     std::string m_id;
     bool m_open = false;
+    bool m_isOverLimit = false;
     timer m_event;
+    timer m_reset;
 };
 
 std::unique_ptr<client_connection> fake_backends::open(const endpoint &to,
--- a/unittests/gateway/fake_backends.h
+++ b/unittests/gateway/fake_backends.h
@@ -56,6 +56,8 @@
         duration work = milliseconds(5);
         /// Connections are refused.
         bool unreachable = false;
+        /// Connections beyond this number are accepted and reset at once.
+        unsigned maxConnections = 1000;
         std::string records;
         /// Ids of the requests that arrived, and of those that ran.
         std::vector<std::string> arrived;
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -280,6 +280,25 @@
     EXPECT_LE(9 * plainServer(0).openConnections, limit);
 }
 
+// A server over its limit resets a connection right after accepting it. A request sent on it would
+// count as one that may have run, and use up its attempts.
+TEST_F(gateway_requests, losesNoRequestOnConnectionsBeyondAServersLimit)
+{
+    for (std::size_t r = 0; r < replicas; ++r)
+        plainServer(r).maxConnections = r == 0 ? 0 : 26;
+    start();
+    const auto client = send("/once/", "booking");
+    loop.advance(seconds(1));
+    EXPECT_EQ(statusOf(client), 200);
+    EXPECT_TRUE(plainServer(0).arrived.empty());
+    for (int i = 0; i < 20; ++i) {
+        const auto next = send("/one/", "q" + std::to_string(i));
+        loop.advance(milliseconds(100));
+        EXPECT_EQ(statusOf(next), 200);
+    }
+    EXPECT_EQ(counters.at("gateway.repeated_attempts").value(), 0U);
+}
+
 // On-call engineers find the cause of a failed request by its id.
 TEST_F(gateway_requests, logsTheStoryOfAFailedRequest)
 {
