Take a reset of a new connection for a refusal where repeating is allowed

Cause: servers over their limit reset a connection after its handshake, up to some tens of milliseconds after it opened; each such request used up an extra attempt. Placement did not know either that no connection could be had at all.

--- a/include/peridotwheel/gateway/backend_server.h
+++ b/include/peridotwheel/gateway/backend_server.h
@@ -28,6 +28,9 @@
     attempt_end end = attempt_end::NotSent;
     reply_verdict verdict = reply_verdict::NotAnAnswer; ///< Valid for `Reply`.
     http_reply reply;                                   ///< Valid for `Reply`.
+    /// With `MayHaveRun`: the connection was new and had answered nothing, as when a server resets
+    /// connections beyond its limit without reading them.
+    bool probablyRefused = false;
 };
 
 /// What one attempt needs.
@@ -121,6 +124,7 @@
     void openIfNeeded();
     void onOpen(slot &s);
     void onClosed(slot &s);
+    void noteRefusal();
     void dispatch();
     void send(slot &s, const backend_attempt_ptr &a);
     void onOutcome(slot &s, const backend_attempt_ptr &a, http_outcome outcome);
--- a/include/peridotwheel/gateway/placement.h
+++ b/include/peridotwheel/gateway/placement.h
@@ -24,6 +24,10 @@
     bool idleConnection = true;
     /// A further connection may be opened.
     bool canConnect = true;
+    /// The server has refused a connection lately and accepted none since.
+    bool refusedLately = false;
+    /// Connections that are open, idle or not.
+    std::size_t openConnections = 1;
     std::uint32_t slots = 1;
     /// Attempts that wait here for a connection to the server.
     std::size_t waiting = 0;
@@ -43,6 +47,9 @@
 /// the usual by chance, and the pause of a busy process.
 duration toleratedSilence(duration distance, duration work);
 
+/// Whether an attempt could get a connection at all.
+bool isReachable(const placement_candidate &candidate);
+
 /// Expected time until the reply of one candidate, for work that takes \p work on a usual server.
 placement expectedPlacement(const placement_candidate &candidate, duration work, time_point now);
 
--- a/lib/gateway/backend_server.cpp
+++ b/lib/gateway/backend_server.cpp
@@ -97,6 +97,9 @@
     c.cold = now < m_coldUntil;
     c.idleConnection = idleSlot(false) != nullptr;
     c.canConnect = m_slots.size() < m_most && now >= m_openAfter;
+    c.refusedLately = m_openPause > duration::zero();
+    c.openConnections = static_cast<std::size_t>(
+            std::count_if(m_slots.begin(), m_slots.end(), [](const auto &s) { return s->isOpen; }));
     c.slots = m_record.slots;
     c.waiting = m_waiting.size();
     return c;
@@ -169,8 +172,7 @@
     // A server that closes an idle connection after use has done nothing unusual.
     if (!s.hasReplied) {
         const bool wasSuspect = m_health.isSuspect();
-        m_openPause = std::clamp(m_openPause * 2, firstOpenPause, maxOpenPause);
-        m_openAfter = now + m_openPause;
+        noteRefusal();
         if (!s.isOpen && !isConnected())
             m_health.onUnreachable(now);
         noteBelief(wasSuspect);
@@ -180,6 +182,12 @@
         returnWaiting();
 }
 
+void backend_server::noteRefusal()
+{
+    m_openPause = std::clamp(m_openPause * 2, firstOpenPause, maxOpenPause);
+    m_openAfter = m_env.loop.now() + m_openPause;
+}
+
 backend_attempt_ptr backend_server::submit(attempt_spec spec)
 {
     auto a = std::make_shared<backend_attempt>(std::move(spec));
@@ -272,6 +280,9 @@
         m_openPause = duration::zero();
     } else if (outcome.failure == transport_failure::MayHaveRun) {
         result.end = attempt_end::MayHaveRun;
+        result.probablyRefused = !s.hasReplied && m_env.loop.now() - s.openedAt < provingTime;
+        if (result.probablyRefused)
+            noteRefusal();
     }
     const bool wasSuspect = m_health.isSuspect();
     account(*a, result, now);
@@ -287,6 +298,8 @@
 {
     if (result.end == attempt_end::NotSent)
         return m_health.onAbandoned(a.sentAt, duration::max(), now);
+    if (result.probablyRefused)
+        return m_health.onAbandoned(a.sentAt, duration::max(), now);
     if (result.end == attempt_end::MayHaveRun)
         return m_health.onFailed(a.sentAt, now);
     switch (result.verdict) {
--- a/lib/gateway/gateway_state.cpp
+++ b/lib/gateway/gateway_state.cpp
@@ -21,9 +21,9 @@
 /// Share of a server's connections that all instances together use. The rest covers instances
 /// that this one does not know of yet.
 constexpr double usedConnections = 0.9;
-/// Connections kept open to each server without need: more where most requests go.
-constexpr std::uint32_t warmNear = 2;
-constexpr std::uint32_t warmFar = 1;
+/// Connections kept open to each server without need. More are opened when they are needed: after a
+/// restart of many instances, servers still count their former connections.
+constexpr std::uint32_t warmConnections = 1;
 
 } // namespace
 
@@ -189,9 +189,8 @@
         return;
     }
     const auto all = static_cast<std::uint32_t>(usedConnections * spec->maxConnections);
-    const bool isNear = record.dataCentre == options.dataCentre;
     server.setShare(share(record.id, std::max<std::uint32_t>(all, 1), record.dataCentre),
-                    isNear ? warmNear : warmFar);
+                    warmConnections);
 }
 
 void gateway_state::tick()
--- a/lib/gateway/placement.cpp
+++ b/lib/gateway/placement.cpp
@@ -20,6 +20,8 @@
 constexpr duration doubtfulPenalty = seconds(10);
 /// A failed attempt costs its own time and that of another one; in practice about this much.
 constexpr duration failureCost = milliseconds(150);
+/// A connection to a server that refused one lately is probably refused again.
+constexpr duration refusalCost = milliseconds(60);
 /// Work of a server that has just started, as a multiple.
 constexpr double coldFactor = 1.6;
 
@@ -28,8 +30,24 @@
     return duration(static_cast<duration::rep>(static_cast<double>(d.count()) * factor));
 }
 
+/// Expected wait for a connection while none is idle.
+duration connectionWait(const placement_candidate &candidate, duration served)
+{
+    if (candidate.canConnect && candidate.waiting == 0)
+        return candidate.health->distance() +
+               (candidate.refusedLately ? refusalCost : duration::zero());
+    const double each = static_cast<double>(candidate.waiting + 1) /
+                        static_cast<double>(std::max<std::size_t>(candidate.openConnections, 1));
+    return times(served, each);
+}
+
 } // namespace
 
+bool isReachable(const placement_candidate &candidate)
+{
+    return candidate.idleConnection || candidate.canConnect || candidate.openConnections > 0;
+}
+
 duration toleratedSilence(duration distance, duration work)
 {
     return distance + toleratedWork * work + schedulingSlack;
@@ -46,12 +64,8 @@
     // The requests of this instance alone fill the slots.
     if (health.outstanding() >= slots)
         p.expected += times(served, static_cast<double>(health.outstanding() + 1 - slots) / slots);
-    if (!candidate.idleConnection) {
-        const duration wait = candidate.canConnect && candidate.waiting == 0
-                                      ? health.distance()
-                                      : times(served, static_cast<double>(candidate.waiting + 1));
-        p.expected += wait;
-    }
+    if (!candidate.idleConnection)
+        p.expected += connectionWait(candidate, served);
     p.expected += times(failureCost, health.errorRate(now));
     const duration silent = health.silentFor(now);
     const duration tolerance = toleratedSilence(health.distance(), served);
@@ -68,7 +82,7 @@
 {
     std::optional<placement> best;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (!candidates[i].usable)
+        if (!candidates[i].usable || !isReachable(candidates[i]))
             continue;
         placement p = expectedPlacement(candidates[i], work, now);
         p.index = i;
--- a/lib/gateway/running_request.cpp
+++ b/lib/gateway/running_request.cpp
@@ -201,7 +201,9 @@
     }
     if (p.done || !server)
         return;
-    const bool sent = result.end != attempt_end::NotSent;
+    // A request that may be repeated loses nothing if a connection that was probably refused is
+    // taken for one that was not opened; any other one may have run.
+    const bool sent = result.end != attempt_end::NotSent && !(result.probablyRefused && mayRepeat());
     if (sent)
         ++p.arrivals;
     const bool isReply = result.end == attempt_end::Reply;
