Tell listeners when a missing server is gone; scale durations in one place

Missing servers are left out of the view at once now, with the time for which they may only have lapsed. A view older than a watch lasts makes its reader ask elsewhere too.

Five copies of one calculation are one function.

--- a/include/peridotwheel/gateway/cluster_view.h
+++ b/include/peridotwheel/gateway/cluster_view.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace peridotwheel {
@@ -32,6 +33,8 @@
     /// Revision of the store up to which the servers are known.
     object_version serversAt;
     std::vector<platform_object> servers;
+    /// Servers that are missing in this view may only have lapsed, and are gone after this time.
+    duration missingFor{};
     /// Revision of the store up to which the instances are known.
     object_version instancesAt;
     std::vector<platform_object> instances;
@@ -60,9 +63,9 @@
     static constexpr duration outageAfter = seconds(1);
 
     /// \p applyWithin bounds the time from a change in the store to its being in force here.
-    cluster_view(event_loop &loop, platform_client &store, counter_set &counters,
-                 decision_log &log, std::uint64_t seed, duration applyWithin,
-                 cluster_documents documents, cluster_view_hooks hooks);
+    cluster_view(event_loop &loop, platform_client &store, counter_set &counters, decision_log &log,
+                 std::uint64_t seed, duration applyWithin, cluster_documents documents,
+                 cluster_view_hooks hooks);
     cluster_view(const cluster_view &) = delete;
     cluster_view &operator=(const cluster_view &) = delete;
     ~cluster_view();
@@ -91,6 +94,7 @@
     void takeServer(const platform_object &object);
     void removeMissing(const watch_result &list);
     void removeServer(const std::string &name);
+    void loseServer(const std::string &name);
     void dropLapsed();
     void onReadSucceeded();
     void onReadFailed(const error &problem);
@@ -108,10 +112,11 @@
     std::map<std::string, platform_object> m_serverObjects;
     backend_map m_servers;
     /// Servers that are missing and may only have lapsed.
-    std::map<std::string, time_point> m_missing;
+    std::set<std::string> m_missing;
     bool m_serversChanged = false;
     std::optional<time_point> m_failingSince;
-    std::optional<time_point> m_recoveredAt;
+    /// Servers that are missing until then may only have lapsed.
+    time_point m_graceUntil{};
     timer m_dropTimer;
     time_point m_nextRefresh{};
     time_point m_confirmedAt{};
--- a/include/peridotwheel/gateway/gateway_settings.h
+++ b/include/peridotwheel/gateway/gateway_settings.h
@@ -23,7 +23,8 @@
     endpoint store;
     /// Addresses of some instances, possibly out of date, for a start while the store is away.
     std::vector<endpoint> seeds;
-    /// All instances start together for the first time: the directory of instances fills up only now.
+    /// All instances start together for the first time: the directory of instances fills up only
+    /// now.
     bool firstStart = false;
     std::map<data_centre_id, region_id> regions;
     extra_attempt_limits extraAttempts;
--- a/include/peridotwheel/gateway/wire_dialect.h
+++ b/include/peridotwheel/gateway/wire_dialect.h
@@ -42,11 +42,11 @@
 
 /// Why the gateway itself answers.
 enum class refusal_kind {
-    NotRun,        ///< The request did not run and will not; it may be sent again.
-    NoRoute,       ///< The configuration has no route for it.
-    BadRequest,    ///< The request lacks what it needs; sending it again does not help.
-    NoAnswer,      ///< It may have run; no usable answer came.
-    TimeRanOut,    ///< It may have run; the time is over.
+    NotRun,     ///< The request did not run and will not; it may be sent again.
+    NoRoute,    ///< The configuration has no route for it.
+    BadRequest, ///< The request lacks what it needs; sending it again does not help.
+    NoAnswer,   ///< It may have run; no usable answer came.
+    TimeRanOut, ///< It may have run; the time is over.
 };
 
 /// A refusal or failure of the gateway's own.
--- a/include/peridotwheel/http/socket_stream.h
+++ b/include/peridotwheel/http/socket_stream.h
@@ -18,8 +18,8 @@
     Broken, ///< Reset, timed out, or never opened.
 };
 
-/// Whether the system probes a connection on which nothing is sent, so that a silent peer is noticed
-/// while an answer is awaited for long.
+/// Whether the system probes a connection on which nothing is sent, so that a silent peer is
+/// noticed while an answer is awaited for long.
 enum class idle_probing { Off, On };
 
 /// What the owner of a stream is told. A hook may destroy the stream.
--- a/include/peridotwheel/support/units.h
+++ b/include/peridotwheel/support/units.h
@@ -35,6 +35,12 @@
     return duration(static_cast<duration::rep>(ms * 1000.0));
 }
 
+/// \p d times \p factor, rounded towards zero.
+inline duration scaled(duration d, double factor)
+{
+    return duration(static_cast<duration::rep>(static_cast<double>(d.count()) * factor));
+}
+
 } // namespace peridotwheel
 
 #endif
--- a/lib/ctl/ctl_settings.cpp
+++ b/lib/ctl/ctl_settings.cpp
@@ -46,7 +46,7 @@
     }
     ctl_settings out;
     BOOST_OUTCOME_TRY(platform, requireEndpoint(reader.Get("platform", "address", ""),
-                                              path + ": [platform] address"));
+                                                path + ": [platform] address"));
     out.platform = platform;
     std::istringstream list(reader.Get("fallback", "operators", ""));
     for (std::string item; std::getline(list, item, ',');) {
--- a/lib/gateway/answer_policy.cpp
+++ b/lib/gateway/answer_policy.cpp
@@ -16,20 +16,15 @@
 /// Rounding of shares such as 0.89 of 9 parts.
 constexpr double shareTolerance = 1e-9;
 
-duration times(duration d, double factor)
-{
-    return duration(static_cast<duration::rep>(static_cast<double>(d.count()) * factor));
-}
-
 } // namespace
 
 time_point secondAttemptTime(const second_attempt_input &input, const request_times &limits)
 {
     const duration usual =
-            input.distance + std::max(times(input.work, delayedWork) + schedulingSlack, minWait);
+            input.distance + std::max(scaled(input.work, delayedWork) + schedulingSlack, minWait);
     const time_point delayed = input.sentAt + usual;
     const time_point latestUseful = limits.targetEnd - input.alternativeDistance -
-                                    times(input.work, alternativeWork) - schedulingSlack;
+                                    scaled(input.work, alternativeWork) - schedulingSlack;
     const time_point earliest = input.sentAt + input.distance + minWait;
     if (latestUseful <= earliest)
         return delayed;
--- a/lib/gateway/backend_server.cpp
+++ b/lib/gateway/backend_server.cpp
@@ -16,8 +16,8 @@
 /// A new connection is not used for this long: a server that is over its limit resets it at once,
 /// and a request that was sent meanwhile would count as one that may have run.
 constexpr duration refusalTime = milliseconds(8);
-/// A connection that has been open for this long was accepted for certain: a refusal arrives within a round
-/// trip, and round trips are shorter.
+/// A connection that has been open for this long was accepted for certain: a refusal arrives within
+/// a round trip, and round trips are shorter.
 constexpr duration provingTime = milliseconds(100);
 /// A server that does not state its idle time is left to close connections itself.
 constexpr duration assumedIdleTime = std::chrono::hours(1);
@@ -136,8 +136,8 @@
     m_slots.push_back(std::make_unique<slot>());
     slot &s = *m_slots.back();
     s.startedAt = m_env.loop.now();
-    s.connection = m_env.connector.open(m_record.address, {[this, &s] { onOpen(s); },
-                                                           [this, &s] { onClosed(s); }});
+    s.connection = m_env.connector.open(m_record.address,
+                                        {[this, &s] { onOpen(s); }, [this, &s] { onClosed(s); }});
     return s;
 }
 
@@ -293,8 +293,7 @@
     dispatch();
 }
 
-void backend_server::account(const backend_attempt &a, const attempt_result &result,
-                             time_point now)
+void backend_server::account(const backend_attempt &a, const attempt_result &result, time_point now)
 {
     if (result.end == attempt_end::NotSent)
         return m_health.onAbandoned(a.sentAt, duration::max(), now);
@@ -371,8 +370,8 @@
 {
     std::vector<slot *> stale;
     for (const auto &s : m_slots) {
-        const duration keep = s->idleTime > 2 * idleMargin ? s->idleTime - idleMargin
-                                                           : s->idleTime / 2;
+        const duration keep =
+                s->idleTime > 2 * idleMargin ? s->idleTime - idleMargin : s->idleTime / 2;
         const bool isStale = s->idle() && (now - s->idleSince >= keep || isLeaving());
         const bool neverOpened = !s->isOpen && now - s->startedAt >= connectTimeout;
         const bool unchecked = s->checking && now - s->busySince >= checkTimeout;
@@ -393,9 +392,8 @@
 {
     if (!m_health.isSuspect() || isLeaving() || now < m_nextCheck || m_most == 0)
         return;
-    const bool underWay = std::any_of(m_slots.begin(), m_slots.end(), [](const auto &s) {
-        return s->checking || !s->isOpen;
-    });
+    const bool underWay = std::any_of(m_slots.begin(), m_slots.end(),
+                                      [](const auto &s) { return s->checking || !s->isOpen; });
     if (underWay)
         return;
     m_nextCheck = now + checkInterval;
--- a/lib/gateway/cluster_view.cpp
+++ b/lib/gateway/cluster_view.cpp
@@ -19,12 +19,12 @@
 object_watcher_options watchOptions(duration applyWithin)
 {
     object_watcher_options o;
-    o.watchWait = fromMilliseconds(toMilliseconds(applyWithin) * watchShare);
+    o.watchWait = scaled(applyWithin, watchShare);
     // A change of the configuration has to be in force within seconds, also right after an outage.
     o.retryFirst = milliseconds(150);
     o.retryMax = milliseconds(1200);
     // Changes often come together; one answer then carries several.
-    o.betweenWatches = fromMilliseconds(toMilliseconds(applyWithin) * batchShare);
+    o.betweenWatches = scaled(applyWithin, batchShare);
     // Instances that do not watch ask those that do.
     o.idleRead = std::chrono::hours(24);
     return o;
@@ -117,7 +117,7 @@
     const duration away = now - *m_failingSince;
     m_failingSince.reset();
     if (away >= outageAfter)
-        m_recoveredAt = now;
+        m_graceUntil = now + lapsedGrace;
     m_log.state("store_regained").addMs("away_ms", away);
 }
 
@@ -177,44 +177,40 @@
     m_serversChanged = m_servers.erase(server_id(name)) > 0 || m_serversChanged;
 }
 
+void cluster_view::loseServer(const std::string &name)
+{
+    if (m_loop.now() >= m_graceUntil)
+        removeServer(name);
+    else if (m_serverObjects.count(name) != 0)
+        m_missing.insert(name);
+}
+
 void cluster_view::removeMissing(const watch_result &list)
 {
     std::set<std::string> present;
     for (const auto &object : list.changed)
         present.insert(object.key.name);
-    const time_point now = m_loop.now();
-    const bool mayHaveLapsed = m_recoveredAt && now - *m_recoveredAt < lapsedGrace;
-    std::vector<std::string> gone;
+    std::vector<std::string> lost;
     for (const auto &[name, object] : m_serverObjects) {
         if (present.count(name) == 0)
-            gone.push_back(name);
-    }
-    for (const auto &name : gone) {
-        if (mayHaveLapsed)
-            m_missing.emplace(name, *m_recoveredAt + lapsedGrace);
-        else
-            removeServer(name);
+            lost.push_back(name);
     }
+    for (const auto &name : lost)
+        loseServer(name);
 }
 
 void cluster_view::onServersRead(const watch_result &read, bool isFullList)
 {
-    const time_point now = m_loop.now();
-    const bool mayHaveLapsed = m_recoveredAt && now - *m_recoveredAt < lapsedGrace;
     if (isFullList)
         removeMissing(read);
     for (const auto &object : read.changed)
         takeServer(object);
-    for (const auto &key : read.removed) {
-        if (mayHaveLapsed && m_serverObjects.count(key.name) != 0)
-            m_missing.emplace(key.name, *m_recoveredAt + lapsedGrace);
-        else
-            removeServer(key.name);
-    }
+    for (const auto &key : read.removed)
+        loseServer(key.name);
     m_serversAt = std::max(m_serversAt, read.next);
     if (!m_missing.empty()) {
         m_log.state("servers_missing").add("count", static_cast<std::int64_t>(m_missing.size()));
-        m_dropTimer = m_loop.schedule(*m_recoveredAt + lapsedGrace - now, [this] { dropLapsed(); });
+        m_dropTimer = m_loop.schedule(m_graceUntil - m_loop.now(), [this] { dropLapsed(); });
     }
     publishServers();
 }
@@ -222,7 +218,7 @@
 void cluster_view::dropLapsed()
 {
     const auto missing = m_missing;
-    for (const auto &[name, until] : missing)
+    for (const auto &name : missing)
         removeServer(name);
     publishServers();
 }
@@ -241,8 +237,12 @@
     s.age = age();
     s.configuration = m_configuration;
     s.serversAt = m_serversAt;
-    for (const auto &[name, object] : m_serverObjects)
-        s.servers.push_back(object);
+    for (const auto &[name, object] : m_serverObjects) {
+        if (m_missing.count(name) == 0)
+            s.servers.push_back(object);
+    }
+    if (!m_missing.empty())
+        s.missingFor = std::max(m_graceUntil - m_loop.now(), duration::zero());
     return s;
 }
 
@@ -253,6 +253,7 @@
         onConfiguration(*other.configuration);
     if (other.serversAt <= m_serversAt)
         return;
+    m_graceUntil = std::max(m_graceUntil, m_loop.now() + other.missingFor);
     watch_result list;
     list.changed = other.servers;
     list.next = other.serversAt;
--- a/lib/gateway/extra_attempts.cpp
+++ b/lib/gateway/extra_attempts.cpp
@@ -45,8 +45,7 @@
 {
     advance(now);
     const bool mayUseConstant = instances > 0 && now - m_startedAt >= m_limits.window;
-    const double constant =
-            mayUseConstant ? m_limits.constant / static_cast<double>(instances) : 0;
+    const double constant = mayUseConstant ? m_limits.constant / static_cast<double>(instances) : 0;
     return usedShare * (m_limits.ratio * m_requests + constant);
 }
 
--- a/lib/gateway/gateway_instance.cpp
+++ b/lib/gateway/gateway_instance.cpp
@@ -120,7 +120,8 @@
               })
     , m_peers(
               loop, [] { return stream_limits(); },
-              [this](const opaque_request &request, const std::shared_ptr<client_exchange> &client) {
+              [this](const opaque_request &request,
+                     const std::shared_ptr<client_exchange> &client) {
                   m_exchange.answer(request, *client);
               })
 {
@@ -174,8 +175,8 @@
 {
     if (m_stopping)
         return;
-    m_log.state("stopping").add("in_flight",
-                                static_cast<std::int64_t>(m_callers.requestsInFlight()));
+    m_log.state("stopping")
+            .add("in_flight", static_cast<std::int64_t>(m_callers.requestsInFlight()));
     m_stopping = true;
     m_done = std::move(done);
     m_stopBy = m_loop.now() + m_settings.stopWithin - stopMargin;
@@ -219,8 +220,7 @@
 }
 
 gateway_instance::gateway_instance(libevent_loop &loop, gateway_environment environment,
-                                   gateway_settings settings, decision_log &log,
-                                   std::uint64_t seed)
+                                   gateway_settings settings, decision_log &log, std::uint64_t seed)
     : m_impl(std::make_unique<impl>(loop, std::move(environment), std::move(settings), log, seed))
 {
 }
--- a/lib/gateway/gateway_settings.cpp
+++ b/lib/gateway/gateway_settings.cpp
@@ -89,8 +89,9 @@
         const double value = std::strtod(it->second.c_str(), &end);
         if (*end == '\0' && value >= low && value <= high)
             return value;
-        note(key, it->second, "is not a number from " + shortNumber(low) + " to " +
-                                      shortNumber(high) + "; choose one in this range");
+        note(key, it->second,
+             "is not a number from " + shortNumber(low) + " to " + shortNumber(high) +
+                     "; choose one in this range");
         return fallback;
     }
 
@@ -177,8 +178,8 @@
     extra.constant =
             reader.number("extra_attempts.constant", 0, maxAttemptsConstant, extra.constant);
     const auto secondsOf = [&](const char *key, duration fallback) {
-        return fromMilliseconds(1000 * reader.number(key, 1, maxSeconds,
-                                                     toMilliseconds(fallback) / 1000));
+        return fromMilliseconds(1000 *
+                                reader.number(key, 1, maxSeconds, toMilliseconds(fallback) / 1000));
     };
     extra.window = secondsOf("extra_attempts.window_seconds", extra.window);
     const auto millisecondsOf = [&](const char *key, duration fallback) {
--- a/lib/gateway/gateway_state.cpp
+++ b/lib/gateway/gateway_state.cpp
@@ -98,17 +98,17 @@
 
 backend_server_ptr gateway_state::makeServer(const backend_record &record)
 {
-    backend_server::environment env{
-            loop, connector, dialect, [this](const backend_server &server, const char *what) {
-                const time_point now = loop.now();
-                log.decision(what)
-                        .add("server", server.record().id.value())
-                        .add("service", server.record().service.value())
-                        .addMs("silent_ms", server.health().silentFor(now));
-            }};
-    auto server = std::make_shared<backend_server>(std::move(env), record,
-                                                   healthPathOf(record.service),
-                                                   assumedDistance(record.dataCentre));
+    backend_server::environment env{loop, connector, dialect,
+                                    [this](const backend_server &server, const char *what) {
+                                        const time_point now = loop.now();
+                                        log.decision(what)
+                                                .add("server", server.record().id.value())
+                                                .add("service", server.record().service.value())
+                                                .addMs("silent_ms", server.health().silentFor(now));
+                                    }};
+    auto server =
+            std::make_shared<backend_server>(std::move(env), record, healthPathOf(record.service),
+                                             assumedDistance(record.dataCentre));
     return server;
 }
 
--- a/lib/gateway/instance_directory.cpp
+++ b/lib/gateway/instance_directory.cpp
@@ -66,9 +66,11 @@
     case first_read::AtOnce:
         return readAll();
     case first_read::Soon:
-        return again(soonRead, [this] { readAll(); }, m_readTimer);
+        return again(
+                soonRead, [this] { readAll(); }, m_readTimer);
     case first_read::IfAlone:
-        return again(aloneRead, [this] { readAll(); }, m_readTimer);
+        return again(
+                aloneRead, [this] { readAll(); }, m_readTimer);
     }
 }
 
@@ -86,8 +88,9 @@
     m_readTimer.cancel();
     if (!m_reading)
         return;
-    again(std::exchange(m_readAgain, false) ? secondRead : readInterval, [this] { readAll(); },
-          m_readTimer);
+    again(
+            std::exchange(m_readAgain, false) ? secondRead : readInterval, [this] { readAll(); },
+            m_readTimer);
 }
 
 void instance_directory::merge(const std::vector<platform_object> &objects, object_version at)
@@ -102,7 +105,7 @@
 {
     // Spread, so that instances that started together do not call together.
     const double factor = 0.75 + 0.5 * m_random.fraction();
-    slot = m_loop.schedule(fromMilliseconds(toMilliseconds(delay) * factor), std::move(next));
+    slot = m_loop.schedule(scaled(delay, factor), std::move(next));
 }
 
 void instance_directory::enter()
@@ -126,7 +129,8 @@
     if (written.error().kind == error_kind::Conflict)
         return;
     m_log.state("instance_entry_failed").add("reason", written.error().message);
-    again(retryDelay, [this] { enter(); }, m_enterTimer);
+    again(
+            retryDelay, [this] { enter(); }, m_enterTimer);
 }
 
 void instance_directory::readAll()
@@ -142,7 +146,8 @@
 {
     if (!read) {
         m_log.decision("instances_not_read").add("reason", read.error().message);
-        again(retryDelay, [this] { readAll(); }, m_readTimer);
+        again(
+                retryDelay, [this] { readAll(); }, m_readTimer);
         return;
     }
     take(read.value().changed, read.value().next);
--- a/lib/gateway/instance_directory.h
+++ b/lib/gateway/instance_directory.h
@@ -36,8 +36,8 @@
     /// When the others are read first.
     enum class first_read {
         AtOnce,
-        Soon,       ///< All start together: once most have entered, for those that wait.
-        IfAlone,    ///< Others read; only if this instance hears of nobody.
+        Soon,    ///< All start together: once most have entered, for those that wait.
+        IfAlone, ///< Others read; only if this instance hears of nobody.
     };
     /// Enters the directory and begins to read it.
     void start(first_read when);
--- a/lib/gateway/placement.cpp
+++ b/lib/gateway/placement.cpp
@@ -25,11 +25,6 @@
 /// Work of a server that has just started, as a multiple.
 constexpr double coldFactor = 1.6;
 
-duration times(duration d, double factor)
-{
-    return duration(static_cast<duration::rep>(static_cast<double>(d.count()) * factor));
-}
-
 /// Expected wait for a connection while none is idle.
 duration connectionWait(const placement_candidate &candidate, duration served)
 {
@@ -38,7 +33,7 @@
                (candidate.refusedLately ? refusalCost : duration::zero());
     const double each = static_cast<double>(candidate.waiting + 1) /
                         static_cast<double>(std::max<std::size_t>(candidate.openConnections, 1));
-    return times(served, each);
+    return scaled(served, each);
 }
 
 } // namespace
@@ -57,16 +52,16 @@
 {
     const server_health &health = *candidate.health;
     const duration served =
-            times(work, health.slowness(now) * (candidate.cold ? coldFactor : 1.0));
+            scaled(work, health.slowness(now) * (candidate.cold ? coldFactor : 1.0));
     placement p;
     p.expected = health.distance() + served;
     const std::uint32_t slots = std::max<std::uint32_t>(candidate.slots, 1);
     // The requests of this instance alone fill the slots.
     if (health.outstanding() >= slots)
-        p.expected += times(served, static_cast<double>(health.outstanding() + 1 - slots) / slots);
+        p.expected += scaled(served, static_cast<double>(health.outstanding() + 1 - slots) / slots);
     if (!candidate.idleConnection)
         p.expected += connectionWait(candidate, served);
-    p.expected += times(failureCost, health.errorRate(now));
+    p.expected += scaled(failureCost, health.errorRate(now));
     const duration silent = health.silentFor(now);
     const duration tolerance = toleratedSilence(health.distance(), served);
     p.doubtful = health.isSuspect() || silent > longestPause + tolerance;
--- a/lib/gateway/record_merge.cpp
+++ b/lib/gateway/record_merge.cpp
@@ -14,10 +14,9 @@
             records.push_back(part.records.data() + i * recordBytes);
     }
     const std::size_t wanted = std::min(count, records.size());
-    std::partial_sort(records.begin(), records.begin() + static_cast<std::ptrdiff_t>(wanted),
-                      records.end(), [](const char *a, const char *b) {
-                          return std::memcmp(a, b, recordBytes) > 0;
-                      });
+    std::partial_sort(
+            records.begin(), records.begin() + static_cast<std::ptrdiff_t>(wanted), records.end(),
+            [](const char *a, const char *b) { return std::memcmp(a, b, recordBytes) > 0; });
     std::string out;
     out.reserve(wanted * recordBytes);
     for (std::size_t i = 0; i < wanted; ++i)
--- a/lib/gateway/running_request.cpp
+++ b/lib/gateway/running_request.cpp
@@ -43,8 +43,8 @@
     const duration margin = std::min(m_state.options.answerMargin, patience / marginShare);
     m_times.arrival = m_state.loop.now();
     m_times.deadline = m_times.arrival + patience - margin;
-    const duration target = m_route->target - std::min(m_state.options.answerMargin,
-                                                       m_route->target / 2);
+    const duration target =
+            m_route->target - std::min(m_state.options.answerMargin, m_route->target / 2);
     m_times.targetEnd = std::min(m_times.arrival + target, m_times.deadline);
 }
 
@@ -118,11 +118,9 @@
     candidates.reserve(p.group->servers.size());
     for (const auto &server : p.group->servers) {
         placement_candidate c = server->candidate();
-        const bool tried =
-                std::find(p.tried.begin(), p.tried.end(), server.get()) != p.tried.end();
-        const bool isLive = std::any_of(p.live.begin(), p.live.end(), [&](const auto &l) {
-            return l.server == server;
-        });
+        const bool tried = std::find(p.tried.begin(), p.tried.end(), server.get()) != p.tried.end();
+        const bool isLive = std::any_of(p.live.begin(), p.live.end(),
+                                        [&](const auto &l) { return l.server == server; });
         c.usable = c.usable && !isLive && (allowTried || !tried);
         candidates.push_back(c);
     }
@@ -203,7 +201,8 @@
         return;
     // A request that may be repeated loses nothing if a connection that was probably refused is
     // taken for one that was not opened; any other one may have run.
-    const bool sent = result.end != attempt_end::NotSent && !(result.probablyRefused && mayRepeat());
+    const bool sent =
+            result.end != attempt_end::NotSent && !(result.probablyRefused && mayRepeat());
     if (sent)
         ++p.arrivals;
     const bool isReply = result.end == attempt_end::Reply;
@@ -241,7 +240,8 @@
     m_state.workOf(*m_route).add(std::max(took, duration::zero()));
 }
 
-void running_request::onAnswer(std::size_t index, const backend_attempt_ptr &, attempt_result &result)
+void running_request::onAnswer(std::size_t index, const backend_attempt_ptr &,
+                               attempt_result &result)
 {
     part &p = m_parts[index];
     p.done = true;
@@ -473,9 +473,9 @@
         if (late)
             m_state.count.late.add();
     }
-    const bool isRemarkable = late || reply.status >= firstFailure ||
-                              std::any_of(m_parts.begin(), m_parts.end(),
-                                          [](const part &p) { return !p.done; });
+    const bool isRemarkable =
+            late || reply.status >= firstFailure ||
+            std::any_of(m_parts.begin(), m_parts.end(), [](const part &p) { return !p.done; });
     m_story.write(m_state.log, now, *m_route, m_version, outcome, isRemarkable);
     m_client->reply(reply);
 }
--- a/lib/gateway/server_health.cpp
+++ b/lib/gateway/server_health.cpp
@@ -64,9 +64,9 @@
     onHeard(sentAt, now);
     const duration usual = std::max(work, minWork);
     const duration served = std::max(now - sentAt - m_distance, duration::zero());
-    const double ratio = std::clamp(static_cast<double>(served.count()) /
-                                            static_cast<double>(usual.count()),
-                                    minSlowness, maxSlowness);
+    const double ratio =
+            std::clamp(static_cast<double>(served.count()) / static_cast<double>(usual.count()),
+                       minSlowness, maxSlowness);
     m_slowness = slowness(now) * (1 - sampleWeight) + ratio * sampleWeight;
     m_slownessAt = now;
     addOutcome(0, now);
--- a/lib/gateway/view_codec.cpp
+++ b/lib/gateway/view_codec.cpp
@@ -67,16 +67,16 @@
 result<view_position> decodePosition(const std::string &text)
 {
     BOOST_OUTCOME_TRY(in, decode<wire::ViewRequest>(text));
-    return view_position{
-            configuration_version(static_cast<std::uint64_t>(in.configurationVersion)),
-            object_version(static_cast<std::uint64_t>(in.serversAt)),
-            object_version(static_cast<std::uint64_t>(in.instancesAt))};
+    return view_position{configuration_version(static_cast<std::uint64_t>(in.configurationVersion)),
+                         object_version(static_cast<std::uint64_t>(in.serversAt)),
+                         object_version(static_cast<std::uint64_t>(in.instancesAt))};
 }
 
 std::string encodeSnapshot(const view_snapshot &snapshot)
 {
     wire::ViewReply out;
     out.ageMs = std::chrono::duration_cast<milliseconds>(snapshot.age).count();
+    out.missingForMs = std::chrono::duration_cast<milliseconds>(snapshot.missingFor).count();
     if (snapshot.configuration)
         out.__set_configuration(toWire(*snapshot.configuration));
     if (snapshot.serversAt.value() != 0)
@@ -95,6 +95,8 @@
     BOOST_OUTCOME_TRY(in, decode<wire::ViewReply>(text));
     view_snapshot out;
     out.age = milliseconds(std::max<std::int64_t>(in.ageMs, 0));
+    out.missingFor = std::clamp(duration(milliseconds(in.missingForMs)), duration::zero(),
+                                duration(cluster_view::lapsedGrace));
     if (in.__isset.configuration)
         out.configuration = fromWire(in.configuration, kinds.configuration);
     if (in.__isset.serversAt)
--- a/lib/gateway/view_exchange.cpp
+++ b/lib/gateway/view_exchange.cpp
@@ -17,12 +17,17 @@
 /// Without any view nothing can be served.
 constexpr duration firstAskInterval = milliseconds(100);
 constexpr duration askTimeout = milliseconds(600);
+/// Shares of the time that a change may take. A view older than the first one is older than a watch
+/// lasts: its watcher does not reach the store, and others are asked besides. Beyond the second one
+/// more instances watch.
+constexpr double freshShare = 0.6;
+constexpr double staleShare = 0.75;
 
 } // namespace
 
 view_exchange::view_exchange(event_loop &loop, cluster_view &view, instance_directory &directory,
                              http_client &http, decision_log &log, std::uint64_t seed,
-                             duration staleAfter)
+                             duration applyWithin)
     : m_loop(loop)
     , m_view(view)
     , m_directory(directory)
@@ -30,7 +35,8 @@
     , m_log(log)
     , m_random(seed)
     , m_self(directory.self())
-    , m_staleAfter(staleAfter)
+    , m_freshFor(scaled(applyWithin, freshShare))
+    , m_staleAfter(scaled(applyWithin, staleShare))
     , m_startedAt(loop.now())
 {
 }
@@ -120,12 +126,12 @@
     request.method = http_method::Post;
     request.path = viewPath;
     request.body = encodePosition({m_view.version(), m_view.serversAt(), m_directory.at()});
-    m_http.send(to, request, askTimeout,
-                [this, to, isHome, alive = std::weak_ptr<int>(m_alive)](
-                        const http_outcome &outcome) {
-                    if (!alive.expired())
-                        onReply(to, isHome, outcome);
-                });
+    m_http.send(
+            to, request, askTimeout,
+            [this, to, isHome, alive = std::weak_ptr<int>(m_alive)](const http_outcome &outcome) {
+                if (!alive.expired())
+                    onReply(to, isHome, outcome);
+            });
 }
 
 void view_exchange::onReply(const endpoint &from, bool isHome, const http_outcome &outcome)
@@ -145,7 +151,7 @@
         return;
     }
     if (isHome)
-        m_homeFails = read.value().age > m_staleAfter;
+        m_homeFails = read.value().age > m_freshFor;
     m_view.merge(read.value());
     m_directory.merge(read.value().instances, read.value().instancesAt);
 }
--- a/lib/gateway/view_exchange.h
+++ b/lib/gateway/view_exchange.h
@@ -20,9 +20,9 @@
 class view_exchange
 {
 public:
-    /// \p staleAfter is the age of the view beyond which the present watchers do not suffice.
+    /// \p applyWithin bounds the time from a change in the store to its being in force here.
     view_exchange(event_loop &loop, cluster_view &view, instance_directory &directory,
-                  http_client &http, decision_log &log, std::uint64_t seed, duration staleAfter);
+                  http_client &http, decision_log &log, std::uint64_t seed, duration applyWithin);
     view_exchange(const view_exchange &) = delete;
     view_exchange &operator=(const view_exchange &) = delete;
     ~view_exchange();
@@ -49,6 +49,7 @@
     decision_log &m_log;
     random_source m_random;
     member m_self;
+    duration m_freshFor;
     duration m_staleAfter;
     time_point m_startedAt;
     std::vector<endpoint> m_seeds;
--- a/lib/gateway/watch_duty.cpp
+++ b/lib/gateway/watch_duty.cpp
@@ -36,8 +36,8 @@
         return input.viewAge >= aloneAfter;
     std::size_t watchers = watchersHere(input.members);
     if (input.viewAge > input.staleAfter)
-        watchers += 1 + static_cast<std::size_t>((input.viewAge - input.staleAfter) /
-                                                 recruitInterval);
+        watchers +=
+                1 + static_cast<std::size_t>((input.viewAge - input.staleAfter) / recruitInterval);
     return isWatcher(input.members, input.self, watchedKind, watchers);
 }
 
--- a/lib/http/socket_connector.cpp
+++ b/lib/http/socket_connector.cpp
@@ -108,13 +108,11 @@
         }
         if (how == stream_end::Closed) {
             m_parser.feedEnd();
-            if (m_parser.state() == message_parser::parse_state::Complete &&
-                takeReply(false))
+            if (m_parser.state() == message_parser::parse_state::Complete && takeReply(false))
                 return;
         }
         http_outcome outcome;
-        outcome.failure =
-                neverOpened ? transport_failure::NotSent : transport_failure::MayHaveRun;
+        outcome.failure = neverOpened ? transport_failure::NotSent : transport_failure::MayHaveRun;
         finish(std::move(outcome));
     }
 
@@ -154,7 +152,8 @@
 std::unique_ptr<client_connection> socket_connector::open(const endpoint &to,
                                                           client_connection_hooks hooks)
 {
-    return std::make_unique<socket_connection>(m_loop, to, m_maxReplyBytes, m_probing, std::move(hooks));
+    return std::make_unique<socket_connection>(m_loop, to, m_maxReplyBytes, m_probing,
+                                               std::move(hooks));
 }
 
 std::string requestText(const std::string &method, const std::string &target,
--- a/lib/http/stream_connector.cpp
+++ b/lib/http/stream_connector.cpp
@@ -66,8 +66,8 @@
 void stream_http_connection::onTimeout()
 {
     http_outcome outcome;
-    outcome.failure = m_connection->written() ? transport_failure::MayHaveRun
-                                              : transport_failure::NotSent;
+    outcome.failure =
+            m_connection->written() ? transport_failure::MayHaveRun : transport_failure::NotSent;
     m_connection.reset();
     finish(std::move(outcome));
 }
--- a/lib/http/stream_server.cpp
+++ b/lib/http/stream_server.cpp
@@ -304,7 +304,8 @@
 
     ~impl()
     {
-        m_state->onRequest = [](const opaque_request &, const std::shared_ptr<client_exchange> &) {};
+        m_state->onRequest = [](const opaque_request &, const std::shared_ptr<client_exchange> &) {
+        };
         m_state->connections.clear();
     }
 
@@ -360,8 +361,7 @@
 void stream_server::impl::onAcceptable()
 {
     for (;;) {
-        unique_fd fd(
-                accept4(m_listener.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+        unique_fd fd(accept4(m_listener.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
         if (!fd) {
             if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM)
                 pauseAccepting();
--- a/lib/limits/admission_queue.cpp
+++ b/lib/limits/admission_queue.cpp
@@ -36,11 +36,6 @@
     return burstShareOfSlack + part * (overloadShareOfSlack - burstShareOfSlack);
 }
 
-duration scaled(duration d, double factor)
-{
-    return duration(static_cast<duration::rep>(static_cast<double>(d.count()) * factor));
-}
-
 } // namespace
 
 bool admission_queue::key::operator<(const key &other) const
--- a/lib/peer/gen/peer_types.cpp
+++ b/lib/peer/gen/peer_types.cpp
@@ -2281,6 +2281,10 @@
 void ViewReply::__set_instances(const std::vector<ViewObject> & val) {
   this->instances = val;
 }
+
+void ViewReply::__set_missingForMs(const int64_t val) {
+  this->missingForMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const ViewReply& obj)
 {
   obj.printTo(out);
@@ -2303,6 +2307,7 @@
   bool isset_servers = false;
   bool isset_ageMs = false;
   bool isset_instances = false;
+  bool isset_missingForMs = false;
 
   while (true)
   {
@@ -2384,6 +2389,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->missingForMs);
+          isset_missingForMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2399,6 +2412,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_instances)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_missingForMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -2450,6 +2465,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("missingForMs", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->missingForMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2463,6 +2482,7 @@
   swap(a.ageMs, b.ageMs);
   swap(a.instancesAt, b.instancesAt);
   swap(a.instances, b.instances);
+  swap(a.missingForMs, b.missingForMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -2473,6 +2493,7 @@
   ageMs = other76.ageMs;
   instancesAt = other76.instancesAt;
   instances = other76.instances;
+  missingForMs = other76.missingForMs;
   __isset = other76.__isset;
 }
 ViewReply& ViewReply::operator=(const ViewReply& other77) {
@@ -2482,6 +2503,7 @@
   ageMs = other77.ageMs;
   instancesAt = other77.instancesAt;
   instances = other77.instances;
+  missingForMs = other77.missingForMs;
   __isset = other77.__isset;
   return *this;
 }
@@ -2494,6 +2516,7 @@
   out << ", " << "ageMs=" << to_string(ageMs);
   out << ", " << "instancesAt="; (__isset.instancesAt ? (out << to_string(instancesAt)) : (out << "<null>"));
   out << ", " << "instances=" << to_string(instances);
+  out << ", " << "missingForMs=" << to_string(missingForMs);
   out << ")";
 }
 
--- a/lib/peer/gen/peer_types.h
+++ b/lib/peer/gen/peer_types.h
@@ -769,7 +769,8 @@
   ViewReply() noexcept
             : serversAt(0),
               ageMs(0),
-              instancesAt(0) {
+              instancesAt(0),
+              missingForMs(0) {
   }
 
   virtual ~ViewReply() noexcept;
@@ -779,6 +780,7 @@
   int64_t ageMs;
   int64_t instancesAt;
   std::vector<ViewObject>  instances;
+  int64_t missingForMs;
 
   _ViewReply__isset __isset;
 
@@ -794,6 +796,8 @@
 
   void __set_instances(const std::vector<ViewObject> & val);
 
+  void __set_missingForMs(const int64_t val);
+
   bool operator == (const ViewReply & rhs) const
   {
     if (__isset.configuration != rhs.__isset.configuration)
@@ -814,6 +818,8 @@
       return false;
     if (!(instances == rhs.instances))
       return false;
+    if (!(missingForMs == rhs.missingForMs))
+      return false;
     return true;
   }
   bool operator != (const ViewReply &rhs) const {
--- a/lib/platform/object_watcher.cpp
+++ b/lib/platform/object_watcher.cpp
@@ -115,8 +115,7 @@
 
 duration object_watcher::jittered(duration d)
 {
-    return duration(static_cast<duration::rep>(static_cast<double>(d.count()) *
-                                               (0.5 + m_random.fraction())));
+    return scaled(d, 0.5 + m_random.fraction());
 }
 
 } // namespace peridotwheel
--- a/lib/support/endpoint_text.cpp
+++ b/lib/support/endpoint_text.cpp
@@ -10,8 +10,8 @@
 {
     sockaddr_storage storage{};
     int length = sizeof storage;
-    if (evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr *>(&storage),
-                                   &length) != 0)
+    if (evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr *>(&storage), &length) !=
+        0)
         return std::nullopt;
     std::array<char, INET6_ADDRSTRLEN> address{};
     std::uint16_t port = 0;
--- a/proto/peer.thrift
+++ b/proto/peer.thrift
@@ -110,4 +110,6 @@
   4: required i64 ageMs
   5: optional i64 instancesAt
   6: required list<ViewObject> instances
+  // Milliseconds for which servers that are missing may only have lapsed.
+  7: required i64 missingForMs
 }
--- a/unittests/gateway/cluster_view_test.cpp
+++ b/unittests/gateway/cluster_view_test.cpp
@@ -301,6 +301,36 @@
     EXPECT_TRUE(isKnown("a"));
 }
 
+// A server that is missing after an outage is dropped by the watcher without a further change in
+// the store. Instances that only hear of the watcher's view must drop it as well.
+TEST_F(cluster_view_test, passesOnThatAMissingServerIsGone)
+{
+    store.write("servers", "gone", "s0");
+    store.write("servers", "stays", "s0");
+    view.setWatching(true);
+    loop.advance(seconds(1));
+    backend_map heard;
+    cluster_view listener(loop, store, counters, log, 2, seconds(3),
+                          {"config", "main", "servers", &readNumber, &readName},
+                          {nullptr, [&heard](const backend_map &servers) { heard = servers; }});
+    listener.merge(view.snapshot());
+    EXPECT_EQ(heard.count(server_id("gone")), 1U);
+    store.away = true;
+    loop.advance(seconds(5));
+    store.erase("servers", "gone");
+    store.historyFrom = store.revision;
+    store.away = false;
+    for (int i = 0; i < 10; ++i) {
+        loop.advance(milliseconds(400));
+        listener.merge(view.snapshot());
+        if (i == 2) {
+            EXPECT_EQ(heard.count(server_id("gone")), 1U) << "it may only have lapsed";
+        }
+    }
+    EXPECT_EQ(heard.count(server_id("gone")), 0U);
+    EXPECT_EQ(heard.count(server_id("stays")), 1U);
+}
+
 TEST_F(cluster_view_test, tellsWhenTheStoreIsAway)
 {
     view.setWatching(true);
--- a/unittests/gateway/decisions_test.cpp
+++ b/unittests/gateway/decisions_test.cpp
@@ -183,24 +183,20 @@
 TEST(answer_decision, waitsForMissingPartsUntilTheTarget)
 {
     const parts_state parts{10, 9, 1, 0, 0.89};
-    EXPECT_EQ(decideAnswer(parts, usualTimes(), start + milliseconds(100)),
-              answer_decision::Wait);
-    EXPECT_EQ(decideAnswer(parts, usualTimes(), usualTimes().targetEnd),
-              answer_decision::Answer);
+    EXPECT_EQ(decideAnswer(parts, usualTimes(), start + milliseconds(100)), answer_decision::Wait);
+    EXPECT_EQ(decideAnswer(parts, usualTimes(), usualTimes().targetEnd), answer_decision::Answer);
 }
 
 TEST(answer_decision, doesNotWaitForPartsThatProbablyDoNotCome)
 {
     const parts_state parts{10, 9, 1, 1, 0.89};
-    EXPECT_EQ(decideAnswer(parts, usualTimes(), start + milliseconds(30)),
-              answer_decision::Answer);
+    EXPECT_EQ(decideAnswer(parts, usualTimes(), start + milliseconds(30)), answer_decision::Answer);
 }
 
 TEST(answer_decision, failsAsSoonAsTheCoverageIsOutOfReach)
 {
     const parts_state parts{10, 5, 3, 0, 0.89};
-    EXPECT_EQ(decideAnswer(parts, usualTimes(), start + milliseconds(10)),
-              answer_decision::Fail);
+    EXPECT_EQ(decideAnswer(parts, usualTimes(), start + milliseconds(10)), answer_decision::Fail);
 }
 
 // A late answer is worth little, but more than none.
@@ -220,7 +216,8 @@
     EXPECT_FALSE(coversEnough({10, 0, 0, 0, 0.0}));
 }
 
-// The budget belongs to all instances together and holds in every window, whatever the load of each.
+// The budget belongs to all instances together and holds in every window, whatever the load of
+// each.
 TEST(extra_attempts, keepTheSharedBoundUnderUnevenLoad)
 {
     constexpr std::size_t instances = 9;
--- a/unittests/gateway/support_test.cpp
+++ b/unittests/gateway/support_test.cpp
@@ -84,9 +84,8 @@
 
 TEST(record_merge, takesTheGreatestRecordsOfAllParts)
 {
-    const std::vector<answer_part> parts{{"", record('b') + record('d')},
-                                         {"", record('c') + record('\xff')},
-                                         {"", ""}};
+    const std::vector<answer_part> parts{
+            {"", record('b') + record('d')}, {"", record('c') + record('\xff')}, {"", ""}};
     EXPECT_EQ(greatestRecords(parts, 3), record('\xff') + record('d') + record('c'));
 }
 
@@ -100,12 +99,13 @@
 
 TEST_F(decision_log_test, writesLinesOfPairs)
 {
-    log.state("started").add("reason", "two words").add("count", 3).addMs("took_ms",
-                                                                          milliseconds(12));
+    log.state("started")
+            .add("reason", "two words")
+            .add("count", 3)
+            .addMs("took_ms", milliseconds(12));
     loop.advance(seconds(1));
-    EXPECT_THAT(written,
-                HasSubstr("instance=node-1 event=started reason=\"two words\" count=3 "
-                          "took_ms=12.0\n"));
+    EXPECT_THAT(written, HasSubstr("instance=node-1 event=started reason=\"two words\" count=3 "
+                                   "took_ms=12.0\n"));
 }
 
 // A flood of decisions must not use up the processor; what is left out is counted.
--- a/unittests/gateway/view_sharing_test.cpp
+++ b/unittests/gateway/view_sharing_test.cpp
@@ -87,6 +87,7 @@
     view.instancesAt = object_version(12);
     view.instances = {{{"i", "x"}, object_version(1), "{}"}};
     view.age = milliseconds(1234);
+    view.missingFor = milliseconds(700);
     const auto read = decodeSnapshot(encodeSnapshot(view), {"c", "s", "i"});
     ASSERT_TRUE(read) << read.error().message;
     EXPECT_EQ(read.value().configuration->value, view.configuration->value);
@@ -96,6 +97,7 @@
     EXPECT_EQ(read.value().servers[1].key.name, "b");
     EXPECT_EQ(read.value().instances.size(), 1U);
     EXPECT_EQ(read.value().age, view.age);
+    EXPECT_EQ(read.value().missingFor, view.missingFor);
 }
 
 TEST(view_codec, keepsAPosition)
--- a/unittests/http/message_parser_test.cpp
+++ b/unittests/http/message_parser_test.cpp
@@ -43,7 +43,8 @@
 
 TEST(message_parser, readsChunkedBodies)
 {
-    const auto r = requestIn(head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    const auto r =
+            requestIn(head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
     EXPECT_EQ(r.body, "abcde");
 }
 
--- a/unittests/http/stream_test.cpp
+++ b/unittests/http/stream_test.cpp
@@ -57,8 +57,7 @@
 
     static void write(const unique_fd &fd, const std::string &text)
     {
-        ASSERT_EQ(::send(fd.get(), text.data(), text.size(), 0),
-                  static_cast<ssize_t>(text.size()));
+        ASSERT_EQ(::send(fd.get(), text.data(), text.size(), 0), static_cast<ssize_t>(text.size()));
     }
 
     libevent_loop loop;
