Tell an outage of the store by the age of the view

Cause: an instance that began to watch during an outage noticed it only by the timeout of its first read and took the 144 ms until the next one for its length; it dropped servers whose entries had lapsed and told other instances so.

Both new tests failed before.

--- a/include/peridotwheel/gateway/cluster_view.h
+++ b/include/peridotwheel/gateway/cluster_view.h
@@ -97,11 +97,13 @@
     void loseServer(const std::string &name);
     void dropLapsed();
     void onReadSucceeded();
+    void confirm(time_point readAt);
     void onReadFailed(const error &problem);
     void publishServers();
 
     event_loop &m_loop;
     decision_log &m_log;
+    duration m_outageAge;
     cluster_documents m_documents;
     cluster_view_hooks m_hooks;
     object_watcher m_configurationWatch;
--- a/lib/gateway/cluster_view.cpp
+++ b/lib/gateway/cluster_view.cpp
@@ -14,6 +14,8 @@
 constexpr double watchShare = 0.45;
 /// Share of that time for which changes are collected before the next watch.
 constexpr double batchShare = 0.08;
+/// Share of that time beyond which a view is older than a lost answer makes it: the store was away.
+constexpr double outageShare = 0.75;
 constexpr duration refreshInterval = seconds(1);
 
 object_watcher_options watchOptions(duration applyWithin)
@@ -37,6 +39,7 @@
                            cluster_documents documents, cluster_view_hooks hooks)
     : m_loop(loop)
     , m_log(log)
+    , m_outageAge(scaled(applyWithin, outageShare))
     , m_documents(std::move(documents))
     , m_hooks(std::move(hooks))
     , m_configurationWatch(loop, store, counters, m_documents.configurationKind, seed,
@@ -110,15 +113,21 @@
 
 void cluster_view::onReadSucceeded()
 {
-    m_confirmedAt = m_loop.now();
+    confirm(m_loop.now());
     if (!m_failingSince)
         return;
-    const time_point now = m_loop.now();
-    const duration away = now - *m_failingSince;
+    m_log.state("store_regained").addMs("away_ms", m_loop.now() - *m_failingSince);
     m_failingSince.reset();
-    if (away >= outageAfter)
-        m_graceUntil = now + lapsedGrace;
-    m_log.state("store_regained").addMs("away_ms", away);
+}
+
+void cluster_view::confirm(time_point readAt)
+{
+    // A call without an answer shows only at its timeout, and other instances' calls not at all; the
+    // age of the view covers both.
+    const bool hasServers = m_serversAt.value() != 0;
+    if (hasServers && readAt - m_confirmedAt >= m_outageAge)
+        m_graceUntil = std::max(m_graceUntil, readAt + lapsedGrace);
+    m_confirmedAt = std::max(m_confirmedAt, readAt);
 }
 
 void cluster_view::onConfiguration(const platform_object &object)
@@ -248,7 +257,7 @@
 
 void cluster_view::merge(const view_snapshot &other)
 {
-    m_confirmedAt = std::max(m_confirmedAt, m_loop.now() - other.age);
+    confirm(m_loop.now() - other.age);
     if (other.configuration)
         onConfiguration(*other.configuration);
     if (other.serversAt <= m_serversAt)
--- a/lib/gateway/running_request.cpp
+++ b/lib/gateway/running_request.cpp
@@ -99,6 +99,11 @@
                 best && !best->doubtful && now + best->expected > m_times.deadline && !isGather();
         if (tooLong)
             p.lost = true;
+        if (p.lost || p.doubtful) {
+            const char *what = !best ? "no_server" : tooLong ? "wait_too_long" : "servers_silent";
+            m_story.add(now, what, p.group->name.value(), "",
+                        static_cast<double>(p.group->servers.size()));
+        }
     }
     parts_state likely = partsState();
     likely.answered = likely.open - likely.doubtful;
--- a/unittests/gateway/cluster_view_test.cpp
+++ b/unittests/gateway/cluster_view_test.cpp
@@ -301,6 +301,40 @@
     EXPECT_TRUE(isKnown("a"));
 }
 
+// An instance that begins to watch because nobody could tell it anything has lived through an outage
+// although none of its own reads failed.
+TEST_F(cluster_view_test, keepsMissingServersWhenItsViewWasOld)
+{
+    store.write("servers", "lapsed", "s0");
+    view.setWatching(true);
+    loop.advance(seconds(1));
+    view.setWatching(false);
+    loop.advance(seconds(6));
+    store.erase("servers", "lapsed");
+    store.historyFrom = store.revision;
+    view.setWatching(true);
+    loop.advance(seconds(1));
+    EXPECT_TRUE(isKnown("lapsed"));
+    loop.advance(seconds(2));
+    EXPECT_FALSE(isKnown("lapsed"));
+}
+
+// Nor may it drop them because another instance has a newer view without them.
+TEST_F(cluster_view_test, keepsMissingServersWhenANewerViewEndsAnOutage)
+{
+    store.write("servers", "lapsed", "s0");
+    view.setWatching(true);
+    loop.advance(seconds(1));
+    view.setWatching(false);
+    loop.advance(seconds(6));
+    view_snapshot other;
+    other.serversAt = object_version(999);
+    view.merge(other);
+    EXPECT_TRUE(isKnown("lapsed"));
+    loop.advance(milliseconds(2300));
+    EXPECT_FALSE(isKnown("lapsed"));
+}
+
 // A server that is missing after an outage is dropped by the watcher without a further change in
 // the store. Instances that only hear of the watcher's view must drop it as well.
 TEST_F(cluster_view_test, passesOnThatAMissingServerIsGone)
