Let queries in as far as the shards keep up, the most urgent ones first

The product's admission queue now stands before the shards of a gather. Its limit follows the pressure, the time of a query's middle part as a multiple of that on idle servers, which faults of single servers do not move.

--- a/lib/gateway/gateway_state.cpp
+++ b/lib/gateway/gateway_state.cpp
@@ -193,6 +193,31 @@
                     warmConnections);
 }
 
+admission_gate &gateway_state::gateOf(const route &r)
+{
+    auto &gate = gates[r.gather->shards.front()];
+    if (!gate)
+        gate = std::make_unique<admission_gate>(loop, gates.size());
+    return *gate;
+}
+
+void gateway_state::updateGates()
+{
+    std::map<admission_gate *, std::map<class_name, class_spec>> classes;
+    for (const auto &r : routes->routes()) {
+        if (!r->gather)
+            continue;
+        class_spec spec;
+        spec.name = class_name(r->name.value());
+        spec.latencyTarget = r->target;
+        spec.coverageTarget = r->gather->minCoverage;
+        spec.rank = r->rank;
+        classes[&gateOf(*r)][spec.name] = spec;
+    }
+    for (const auto &[gate, specs] : classes)
+        gate->setClasses(specs);
+}
+
 void gateway_state::tick()
 {
     const time_point now = loop.now();
--- a/lib/gateway/running_request.cpp
+++ b/lib/gateway/running_request.cpp
@@ -3,6 +3,7 @@
 #include "record_merge.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace peridotwheel {
 
@@ -70,11 +71,75 @@
 void running_request::start()
 {
     const auto self = shared_from_this();
-    m_inStart = true;
     m_client->onClientGone([weak = weak_from_this()] {
         if (const auto request = weak.lock())
             request->onClientGone();
     });
+    if (isGather())
+        waitForAdmission();
+    else
+        run();
+}
+
+void running_request::waitForAdmission()
+{
+    admission_gate &gate = m_state.gateOf(*m_route);
+    admission_gate::waiting_query query;
+    query.run = [this, &gate, self = shared_from_this()] {
+        if (m_over)
+            return false;
+        m_gate = &gate;
+        run();
+        return true;
+    };
+    query.refuse = [this, &gate, self = shared_from_this()](duration retryAfter) {
+        if (m_over)
+            return;
+        m_story.add(m_state.loop.now(), "not_admitted", "", "", gate.limit());
+        refuse(retryAfter, "more work than the servers can do in time; not run, try again\n");
+    };
+    gate.offer(m_route->rank, m_times.targetEnd, std::move(query));
+}
+
+void running_request::leaveGate()
+{
+    admission_gate *gate = std::exchange(m_gate, nullptr);
+    if (gate == nullptr)
+        return;
+    const bool anySent = std::any_of(m_parts.begin(), m_parts.end(), [](const part &p) {
+        return p.done || p.arrivals > 0 || !p.tried.empty();
+    });
+    if (anySent)
+        gate->onEnded(m_route->rank, m_state.loop.now() - m_admittedAt, pressure());
+    else
+        gate->onAbandoned();
+}
+
+double running_request::pressure() const
+{
+    const duration idle = std::max(m_state.workOf(*m_route).onIdleServers(), duration(1));
+    std::vector<duration> times;
+    times.reserve(m_parts.size());
+    const time_point now = m_state.loop.now();
+    for (const part &p : m_parts) {
+        if (p.done)
+            times.push_back(p.served);
+        // Waiting for a connection says nothing about the server's work.
+        else if (!p.live.empty() && p.live.front().attempt->sent)
+            times.push_back(now - p.live.front().attempt->sentAt);
+    }
+    if (times.empty())
+        return 1;
+    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::nth_element(times.begin(), middle, times.end());
+    return toMilliseconds(*middle) / toMilliseconds(idle);
+}
+
+void running_request::run()
+{
+    const auto self = shared_from_this();
+    m_inStart = true;
+    m_admittedAt = m_state.loop.now();
     addParts();
     if (m_times.deadline <= m_state.loop.now()) {
         refuse(duration::zero(), "no time is left; not run\n");
@@ -129,7 +194,7 @@
         c.usable = c.usable && !isLive && (allowTried || !tried);
         candidates.push_back(c);
     }
-    return chooseServer(candidates, m_state.workOf(*m_route).value(), m_state.loop.now());
+    return chooseServer(candidates, m_state.workOf(*m_route).usual(), m_state.loop.now());
 }
 
 bool running_request::send(std::size_t index, attempt_kind kind)
@@ -145,7 +210,7 @@
     attempt_spec spec;
     spec.rank = m_route->rank;
     spec.deadline = m_times.deadline;
-    spec.work = m_state.workOf(*m_route).value();
+    spec.work = m_state.workOf(*m_route).usual();
     spec.needsProvenConnection = !mayRepeat();
     spec.request = m_request;
     p.tried.push_back(server.get());
@@ -182,7 +247,7 @@
         return;
     second_attempt_input input;
     input.sentAt = m_state.loop.now();
-    input.work = m_state.workOf(*m_route).value();
+    input.work = m_state.workOf(*m_route).usual();
     input.distance = server.health().distance();
     input.alternativeDistance = p.group->servers[other->index]->health().distance();
     p.secondAt = secondAttemptTime(input, m_times);
@@ -216,8 +281,7 @@
     if (sent && !rejected)
         ++p.mayHaveRun;
     if (isReply && result.verdict == reply_verdict::Answer) {
-        sampleWork(*server, *a);
-        onAnswer(index, a, result);
+        onAnswer(index, sampleWork(*server, *a), result);
         return;
     }
     const time_point now = m_state.loop.now();
@@ -239,17 +303,20 @@
     check();
 }
 
-void running_request::sampleWork(const backend_server &server, const backend_attempt &a)
+duration running_request::sampleWork(const backend_server &server, const backend_attempt &a)
 {
-    const duration took = m_state.loop.now() - a.sentAt - server.health().distance();
-    m_state.workOf(*m_route).add(std::max(took, duration::zero()));
+    const time_point now = m_state.loop.now();
+    const duration served =
+            std::max(now - a.sentAt - server.health().distance(), duration::zero());
+    m_state.workOf(*m_route).add(served, now);
+    return served;
 }
 
-void running_request::onAnswer(std::size_t index, const backend_attempt_ptr &,
-                               attempt_result &result)
+void running_request::onAnswer(std::size_t index, duration served, attempt_result &result)
 {
     part &p = m_parts[index];
     p.done = true;
+    p.served = served;
     for (const live_attempt &l : p.live) {
         l.server->detach(l.attempt);
         l.attempt->spec.deadline =
@@ -345,7 +412,7 @@
         const bool stuck = !p.live.empty() &&
                            std::all_of(p.live.begin(), p.live.end(), [now, this](const auto &l) {
                                return expectedPlacement(l.server->candidate(),
-                                                        m_state.workOf(*m_route).value(), now)
+                                                        m_state.workOf(*m_route).usual(), now)
                                        .doubtful;
                            });
         s.doubtful += p.live.empty() ? (p.doubtful ? 1 : 0) : (stuck ? 1 : 0);
@@ -469,6 +536,7 @@
     const time_point now = m_state.loop.now();
     m_over = true;
     m_timer.cancel();
+    leaveGate();
     endAttempts();
     m_state.running.erase(self);
     constexpr int firstFailure = 300;
@@ -505,6 +573,7 @@
         p.live.clear();
     }
     m_state.running.erase(self);
+    leaveGate();
 }
 
 void running_request::drop()
--- a/lib/gateway/running_request.h
+++ b/lib/gateway/running_request.h
@@ -21,6 +21,7 @@
                     const opaque_request &request, const caller_terms &terms,
                     std::shared_ptr<client_exchange> client);
 
+    /// Runs, waits for admission, or is refused.
     void start();
     /// Ends without an answer; for the end of the process.
     void drop();
@@ -46,12 +47,18 @@
         bool wasDenied = false;
         std::optional<time_point> secondAt;
         answer_part result;
+        /// Time that the answer took on the server, without the way.
+        duration served{};
         /// The last failure that a server reported itself.
         std::optional<http_reply> failure;
     };
 
     enum class attempt_kind { First, Second, Repeat };
 
+    void waitForAdmission();
+    void run();
+    void leaveGate();
+    double pressure() const;
     bool isGather() const { return m_route->gather.has_value(); }
     bool mayRepeat() const { return m_route->kind == request_kind::Idempotent; }
     void addParts();
@@ -60,8 +67,8 @@
     bool send(std::size_t index, attempt_kind kind);
     void planSecond(part &p, const backend_server &server);
     void onResult(std::size_t index, const backend_attempt_ptr &a, attempt_result result);
-    void onAnswer(std::size_t index, const backend_attempt_ptr &a, attempt_result &result);
-    void sampleWork(const backend_server &server, const backend_attempt &a);
+    void onAnswer(std::size_t index, duration served, attempt_result &result);
+    duration sampleWork(const backend_server &server, const backend_attempt &a);
     void repeat(std::size_t index, bool mayHaveRun);
     bool takeExtra(part &p);
     void sendDueSeconds(time_point now);
@@ -89,6 +96,8 @@
     request_story m_story;
     timer m_timer;
     std::optional<time_point> m_armedFor;
+    admission_gate *m_gate = nullptr;
+    time_point m_admittedAt{};
     bool m_inStart = false;
     bool m_over = false;
 };
--- a/lib/gateway/work_estimate.h
+++ b/lib/gateway/work_estimate.h
@@ -7,29 +7,41 @@
 
 namespace peridotwheel {
 
-/// The usual time that the requests of one route work at a server, near the median: samples move
-/// it by a bounded step, so that slow servers and pauses hardly count.
+/// The time that the requests of one route work at a server.
 class work_estimate
 {
 public:
-    void add(duration sample)
+    void add(duration sample, time_point now)
     {
         if (!m_known) {
-            m_value = sample;
+            m_usual = sample;
+            m_idle = sample;
             m_known = true;
+            m_at = now;
             return;
         }
-        const duration step = std::max(m_value / stepDivisor, minStep);
-        m_value = std::max(m_value + std::clamp(sample - m_value, -step, step), minStep);
+        const duration step = std::max(m_usual / stepDivisor, minStep);
+        m_usual = std::max(m_usual + std::clamp(sample - m_usual, -step, step), minStep);
+        const double elapsed = toMilliseconds(now - m_at) / 1000;
+        m_idle = std::min(m_usual, scaled(m_idle, 1 + idleGrowthPerSecond * elapsed));
+        m_at = now;
     }
 
-    duration value() const { return m_value; }
+    /// Near the median at present: samples move it by a bounded step, so that slow servers and
+    /// pauses hardly count.
+    duration usual() const { return m_usual; }
+    /// The usual time while the servers had little to do. A flood does not change it soon.
+    duration onIdleServers() const { return m_idle; }
 
 private:
     static constexpr int stepDivisor = 20;
     static constexpr duration minStep = std::chrono::microseconds(50);
+    /// Work changes with the data, over minutes; floods last seconds.
+    static constexpr double idleGrowthPerSecond = 0.01;
     /// Assumed before the first reply: work of tens of milliseconds is usual.
-    duration m_value = milliseconds(10);
+    duration m_usual = milliseconds(10);
+    duration m_idle = milliseconds(10);
+    time_point m_at{};
     bool m_known = false;
 };
 
