--- a/lib/gateway/admission_gate.cpp
+++ b/lib/gateway/admission_gate.cpp
@@ -10,8 +10,8 @@
 
 void smooth(duration &average, duration sample)
 {
-    average = average == duration::zero() ? sample
-                                          : average + scaled(sample - average, sampleWeight);
+    average =
+            average == duration::zero() ? sample : average + scaled(sample - average, sampleWeight);
 }
 
 } // namespace
--- a/lib/gateway/admission_gate.h
+++ b/lib/gateway/admission_gate.h
@@ -12,8 +12,8 @@
 
 namespace peridotwheel {
 
-/// Lets queries over one set of shards in, the most urgent ones first, as far as the shards keep up,
-/// and refuses at once those that would not meet their target.
+/// Lets queries over one set of shards in, the most urgent ones first, as far as the shards keep
+/// up, and refuses at once those that would not meet their target.
 class admission_gate
 {
 public:
@@ -30,7 +30,10 @@
     admission_gate &operator=(const admission_gate &) = delete;
     ~admission_gate();
 
-    void setClasses(const std::map<class_name, class_spec> &classes) { m_queue.setClasses(classes); }
+    void setClasses(const std::map<class_name, class_spec> &classes)
+    {
+        m_queue.setClasses(classes);
+    }
     /// One of the hooks is called, now or later. \p targetEnd is the latest useful time of an
     /// answer.
     void offer(class_rank rank, time_point targetEnd, waiting_query query);
--- a/lib/gateway/cluster_view.cpp
+++ b/lib/gateway/cluster_view.cpp
@@ -122,8 +122,8 @@
 
 void cluster_view::confirm(time_point readAt)
 {
-    // A call without an answer shows only at its timeout, and other instances' calls not at all; the
-    // age of the view covers both.
+    // A call without an answer shows only at its timeout, and other instances' calls not at all;
+    // the age of the view covers both.
     const bool hasServers = m_serversAt.value() != 0;
     if (hasServers && readAt - m_confirmedAt >= m_outageAge)
         m_graceUntil = std::max(m_graceUntil, readAt + lapsedGrace);
--- a/lib/gateway/gateway_state.cpp
+++ b/lib/gateway/gateway_state.cpp
@@ -49,6 +49,7 @@
     , dialect(d)
     , counters(set)
     , count(set)
+    , latency(set)
     , log(lg)
     , options(std::move(o))
     , share(options.self, l.now(), connection_share::defaultHold, options.dataCentre)
--- a/lib/gateway/gateway_state.h
+++ b/lib/gateway/gateway_state.h
@@ -2,6 +2,7 @@
 #define PERIDOTWHEEL_LIB_GATEWAY_GATEWAY_STATE_H
 
 #include "admission_gate.h"
+#include "latency_counters.h"
 #include "peridotwheel/counters/counter_set.h"
 #include "peridotwheel/gateway/backend_server.h"
 #include "peridotwheel/gateway/decision_log.h"
@@ -81,6 +82,7 @@
     const wire_dialect &dialect;
     counter_set &counters;
     gateway_counters count;
+    latency_counters latency;
     decision_log &log;
     gateway_options options;
     route_table_ptr routes;
--- a/lib/gateway/pressure_limiter.cpp
+++ b/lib/gateway/pressure_limiter.cpp
@@ -12,8 +12,8 @@
 constexpr double maxLimit = 256;
 /// Weight of a new sample of the pressure.
 constexpr double sampleWeight = 0.2;
-/// Beyond the first value most of the time is spent in queues, and more queries at once gain nothing.
-/// Below the second one there is room. Faults of single servers stay below both.
+/// Beyond the first value most of the time is spent in queues, and more queries at once gain
+/// nothing. Below the second one there is room. Faults of single servers stay below both.
 constexpr double highPressure = 4.5;
 constexpr double lowPressure = 3;
 constexpr double shrinkFactor = 0.85;
@@ -32,7 +32,8 @@
         if (now < m_nextShrink)
             return;
         m_nextShrink = now + shrinkInterval;
-        m_limit = std::max(std::min(m_limit, static_cast<double>(running)) * shrinkFactor, minLimit);
+        m_limit =
+                std::max(std::min(m_limit, static_cast<double>(running)) * shrinkFactor, minLimit);
         return;
     }
     const bool isUsed = running >= usedShare * m_limit;
--- a/lib/gateway/running_request.cpp
+++ b/lib/gateway/running_request.cpp
@@ -306,8 +306,7 @@
 duration running_request::sampleWork(const backend_server &server, const backend_attempt &a)
 {
     const time_point now = m_state.loop.now();
-    const duration served =
-            std::max(now - a.sentAt - server.health().distance(), duration::zero());
+    const duration served = std::max(now - a.sentAt - server.health().distance(), duration::zero());
     m_state.workOf(*m_route).add(served, now);
     return served;
 }
@@ -543,6 +542,7 @@
     const bool late = now > m_times.targetEnd;
     if (reply.status < firstFailure) {
         m_state.count.answered.add();
+        m_state.latency.add(m_route->rank, now - m_times.arrival);
         if (late)
             m_state.count.late.add();
     }
--- a/unittests/gateway/cluster_view_test.cpp
+++ b/unittests/gateway/cluster_view_test.cpp
@@ -301,8 +301,8 @@
     EXPECT_TRUE(isKnown("a"));
 }
 
-// An instance that begins to watch because nobody could tell it anything has lived through an outage
-// although none of its own reads failed.
+// An instance that begins to watch because nobody could tell it anything has lived through an
+// outage although none of its own reads failed.
 TEST_F(cluster_view_test, keepsMissingServersWhenItsViewWasOld)
 {
     store.write("servers", "lapsed", "s0");
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -311,6 +311,17 @@
     EXPECT_THAT(logText, HasSubstr("outcome=failed"));
 }
 
+// The metrics must show how many answers were quick, by rank.
+TEST_F(gateway_requests, countsLatenciesByRank)
+{
+    start();
+    send("/one/", "q");
+    loop.advance(milliseconds(100));
+    EXPECT_EQ(counters.at("gateway.latency.rank_0.le_5_ms").value(), 0U);
+    EXPECT_EQ(counters.at("gateway.latency.rank_0.le_50_ms").value(), 1U);
+    EXPECT_EQ(counters.at("gateway.latency.rank_0.all").value(), 1U);
+}
+
 // A process that was stopped wakes with every deadline in the past: it answers, and does not
 // suspect the servers of its own silence.
 TEST_F(gateway_requests, survivesBeingStoppedForSeconds)
