--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -54,7 +54,7 @@
 {
     gateway_state &s = *m_state;
     s.count.requests.add();
-    const auto refuse = [&](refusal r, const char *reason) {
+    const auto refuse = [&](const refusal &r, const char *reason) {
         const std::string *id = request.header("Host");
         s.log.decision("request_refused").add("reason", reason).add("host", id ? *id : "");
         s.count.refused.add();
--- a/tools/peridotctl/main.cpp
+++ b/tools/peridotctl/main.cpp
@@ -1,9 +1,11 @@
 #include "peridotwheel/ctl/commands.h"
 #include "peridotwheel/ctl/ctl_settings.h"
+#include "peridotwheel/ctl/log_story.h"
 #include "peridotwheel/support/log.h"
 
 #include <cstdlib>
 #include <docopt.h>
+#include <fstream>
 #include <iostream>
 
 using namespace peridotwheel;
@@ -22,8 +24,13 @@
   peridotctl [options] where
   peridotctl [options] counters
   peridotctl [options] timeline [--request=ID] [--class=NAME] [--kind=KIND] [--from=MS] [--to=MS] [--svg]
+  peridotctl explain ID [FILE...]
+  peridotctl report [FILE...]
   peridotctl (-h | --help)
 
+`explain` shows what happened to one request, and `report` counts outcomes by second, from the logs
+of gateways: of the files, or of standard input if none is named.
+
 Options:
   --settings=FILE  Settings file; by default the one that PERIDOTCTL_SETTINGS names, or peridotctl.ini.
   --json           Print JSON in place of tables.
@@ -184,6 +191,38 @@
     return runTimeline(commands, args, args.at("--json").asBool());
 }
 
+/// The lines of all named files, or of standard input. Throws std::invalid_argument with the remedy.
+std::vector<log_line> readLogs(const std::vector<std::string> &files)
+{
+    if (files.empty())
+        return readLog(std::cin);
+    std::vector<log_line> all;
+    for (const auto &file : files) {
+        std::ifstream in(file);
+        if (!in)
+            throw std::invalid_argument(file + " cannot be read; check that the file exists");
+        auto lines = readLog(in);
+        all.insert(all.end(), std::make_move_iterator(lines.begin()),
+                   std::make_move_iterator(lines.end()));
+    }
+    return all;
+}
+
+int runOnLogs(const arguments &args)
+{
+    const auto log = readLogs(args.at("FILE").asStringList());
+    if (args.at("report").asBool()) {
+        reportLog(log, std::cout);
+        return EXIT_SUCCESS;
+    }
+    const std::string id = args.at("ID").asString();
+    if (explainRequest(log, id, std::cout))
+        return EXIT_SUCCESS;
+    return bad("no line names request '" + id +
+               "'; requests that go well are written for a sample only, so check the id and that "
+               "the logs of all instances are given");
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -199,6 +238,13 @@
         return static_cast<int>(exit_status::BadUse);
     }
     static_cast<void>(configureLogging("error"));
+    if (args["explain"].asBool() || args["report"].asBool()) {
+        try {
+            return runOnLogs(args);
+        } catch (const std::invalid_argument &e) {
+            return bad(e.what());
+        }
+    }
     const auto settings = readCtlSettings(settingsPath(args));
     if (!settings)
         return bad(settings.error().message);
