Do not take the time of scheduling for work in the pressure on shards

The distance to far servers was measured on connections that were slow to open, so that the work there looked like nothing and ordinary times like a flood.

A quicker reply corrects the distance now, and times below 8 ms count as scheduling.

--- a/lib/gateway/server_health.cpp
+++ b/lib/gateway/server_health.cpp
@@ -62,6 +62,8 @@
 void server_health::onReply(time_point sentAt, duration work, time_point now)
 {
     onHeard(sentAt, now);
+    // A reply that took less shows that the connection was slow to open.
+    m_distance = std::min(m_distance, now - sentAt);
     const duration usual = std::max(work, minWork);
     const duration served = std::max(now - sentAt - m_distance, duration::zero());
     const double ratio =
--- a/lib/gateway/work_estimate.h
+++ b/lib/gateway/work_estimate.h
@@ -31,11 +31,13 @@
     /// pauses hardly count.
     duration usual() const { return m_usual; }
     /// The usual time while the servers had little to do. A flood does not change it soon.
-    duration onIdleServers() const { return m_idle; }
+    duration onIdleServers() const { return std::max(m_idle, schedulingTime); }
 
 private:
     static constexpr int stepDivisor = 20;
     static constexpr duration minStep = std::chrono::microseconds(50);
+    /// Shorter times are those of processes with a small share of a core, not of the work.
+    static constexpr duration schedulingTime = milliseconds(8);
     /// Work changes with the data, over minutes; floods last seconds.
     static constexpr double idleGrowthPerSecond = 0.01;
     /// Assumed before the first reply: work of tens of milliseconds is usual.
--- a/unittests/gateway/admission_test.cpp
+++ b/unittests/gateway/admission_test.cpp
@@ -209,6 +209,17 @@
     EXPECT_LT(work.onIdleServers(), milliseconds(12));
 }
 
+// A distance that is taken for too long makes work look like nothing. Ordinary times must not look
+// like a flood afterwards: two instances admitted two queries at once for 20 s.
+TEST(work_estimate, doesNotTakeSchedulingForWork)
+{
+    work_estimate work;
+    time_point now{seconds(1000)};
+    for (int i = 0; i < 200; ++i)
+        work.add(duration(0), now += milliseconds(10));
+    EXPECT_GE(work.onIdleServers(), milliseconds(8));
+}
+
 // One slow reply says nothing about the usual work.
 TEST(work_estimate, hardlyMovesWithSinglePauses)
 {
--- a/unittests/gateway/decisions_test.cpp
+++ b/unittests/gateway/decisions_test.cpp
@@ -148,6 +148,16 @@
     EXPECT_FALSE(health[0].isSuspect());
 }
 
+// A connection that was slow to open says little about the way.
+TEST_F(placement_load, correctsADistanceByAQuickerReply)
+{
+    server_health far(milliseconds(40), now);
+    far.onConnected(milliseconds(90));
+    far.onSent(now);
+    far.onReply(now, work, now + milliseconds(35));
+    EXPECT_EQ(far.distance(), milliseconds(35));
+}
+
 // The silence of a stopped process is not the servers'.
 TEST_F(placement_load, forgivesSilenceWhileThisProcessWasStopped)
 {
