--- a/models/check.sh
+++ b/models/check.sh
@@ -60,4 +60,9 @@
 for step in NO_EXCHANGE NO_HANDOVER; do
     check fails configuration liveness -DCONVERGES -DFAULTS=1 -DVERSIONS=2 -D$step
 done
+
+check holds view safety
+for step in ADOPT_ANY KEEP_MISSING NO_GRACE; do
+    check fails view safety -D$step
+done
 exit $failed
