Say 'not run' only if nothing was written

Cause: a reset of a new connection counts as a refusal for requests that may be repeated, so that their attempts are not used up. If all attempts ended so, the caller got 503, which promises that the request has not run; it may have.

--- a/lib/gateway/running_request.h
+++ b/lib/gateway/running_request.h
@@ -41,6 +41,8 @@
         /// Attempts that were sent and not certainly rejected.
         unsigned mayHaveRun = 0;
         unsigned arrivals = 0;
+        /// Something was written that no server has said it did not run.
+        bool wasWritten = false;
         bool done = false;
         bool lost = false;
         bool doubtful = false;
--- a/lib/gateway/running_request_answer.cpp
+++ b/lib/gateway/running_request_answer.cpp
@@ -112,7 +112,7 @@
 {
     bool mayHaveRun = false;
     for (const part &p : m_parts) {
-        mayHaveRun = mayHaveRun || p.mayHaveRun > 0 || p.done;
+        mayHaveRun = mayHaveRun || p.wasWritten || p.done;
         for (const live_attempt &l : p.live)
             mayHaveRun = mayHaveRun || l.attempt->sent;
     }
--- a/lib/gateway/running_request_retry.cpp
+++ b/lib/gateway/running_request_retry.cpp
@@ -114,6 +114,7 @@
                                       result.verdict == reply_verdict::WrongServer);
     if (sent && !rejected)
         ++p.mayHaveRun;
+    p.wasWritten = p.wasWritten || (result.end != attempt_end::NotSent && !rejected);
     if (isReply && result.verdict == reply_verdict::Answer) {
         onAnswer(index, sampleWork(*server, *a), result);
         return;
--- a/unittests/gateway/fake_backends.cpp
+++ b/unittests/gateway/fake_backends.cpp
@@ -101,7 +101,7 @@
             }
             m_open = true;
             if (m_isOverLimit)
-                m_reset = m_loop.schedule(milliseconds(1), [this] { reset(); });
+                m_reset = m_loop.schedule(m_server.resetAfter, [this] { reset(); });
             const auto opened = m_hooks.onOpen;
             opened();
         });
--- a/unittests/gateway/fake_backends.h
+++ b/unittests/gateway/fake_backends.h
@@ -58,6 +58,8 @@
         bool unreachable = false;
         /// Connections beyond this number are accepted and reset at once.
         unsigned maxConnections = 1000;
+        /// Time from the acceptance of such a connection to its reset.
+        duration resetAfter = milliseconds(1);
         std::string records;
         /// Ids of the requests that arrived, and of those that ran.
         std::vector<std::string> arrived;
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -303,6 +303,27 @@
     EXPECT_EQ(counters.at("gateway.repeated_attempts").value(), 0U);
 }
 
+// A reset that is probably a refusal costs no extra attempt, but the request was written: nobody
+// knows for certain that it did not run.
+TEST_F(gateway_requests, doesNotCallAWrittenRequestNotRun)
+{
+    for (std::size_t r = 0; r < replicas; ++r) {
+        plainServer(r).maxConnections = 0;
+        plainServer(r).resetAfter = milliseconds(20);
+        plainServer(r).work = milliseconds(50);
+    }
+    gate.setServers(servers);
+    member self;
+    self.id = instance_id("self");
+    gate.setInstances({{self.id, self}});
+    gate.setRoutes(std::make_shared<route_table>(configuration(1)));
+    loop.advance(milliseconds(9));
+    const auto client = send("/one/", "q");
+    loop.advance(seconds(2));
+    ASSERT_GT(backends.runs("q"), 0U);
+    EXPECT_NE(statusOf(client), 503);
+}
+
 // On-call engineers find the cause of a failed request by its id.
 TEST_F(gateway_requests, logsTheStoryOfAFailedRequest)
 {
