Log the source of a configuration and the size of copies sent

The logs of the incident could not tell a saturated link from slow parsing or a slow store: no line said how many bytes a view reply had, whom it went to, how long an abandoned request had waited, or whether a configuration came from the store.

Adds configuration_received (source, bytes) and configuration_sent (to, version, bytes), and waited_ms on peer_not_answering. No decision changes.

--- a/include/peridotwheel/gateway/cluster_view.h
+++ b/include/peridotwheel/gateway/cluster_view.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace peridotwheel {
 
@@ -49,6 +50,8 @@
     /// Combined server measurements of the instances of the data centre; not part of the
     /// configuration or of the server list.
     server_hints hints;
+    /// Address of the instance that sent this view, for the log.
+    std::string source;
 };
 
 struct cluster_view_hooks
@@ -104,7 +107,7 @@
     bool isStoreUnavailable() const;
 
 private:
-    void applyConfiguration(const platform_object &object);
+    void applyConfiguration(const platform_object &object, std::string_view source);
     void onServersRead(const watch_result &read, bool isFullList);
     void store(const platform_object &object);
     void applyServer(const platform_object &object);
--- a/lib/gateway/cluster_view.cpp
+++ b/lib/gateway/cluster_view.cpp
@@ -21,6 +21,8 @@
 /// Limit on recorded removals; instances whose revision predates the recorded ones get the full
 /// list.
 constexpr std::size_t maxRememberedRemovals = 4096;
+/// Source logged for a configuration that this instance read from the store itself.
+constexpr std::string_view storeSource = "store";
 
 object_watcher_options watchOptions(duration applyWithin)
 {
@@ -56,7 +58,7 @@
     m_configurationWatch.setReadHook([this](const watch_result &read, bool) {
         onReadSucceeded();
         for (const auto &object : read.changed)
-            applyConfiguration(object);
+            applyConfiguration(object, storeSource);
     });
     m_serverWatch.setReadHook([this](const watch_result &read, bool isFullList) {
         onReadSucceeded();
@@ -144,7 +146,7 @@
     m_lastReadAt = std::max(m_lastReadAt, readAt);
 }
 
-void cluster_view::applyConfiguration(const platform_object &object)
+void cluster_view::applyConfiguration(const platform_object &object, std::string_view source)
 {
     if (object.key.name != m_documents.configurationName)
         return;
@@ -155,6 +157,10 @@
     }
     if (m_routes && read.value().version <= m_routes->version())
         return;
+    m_log.state("configuration_received")
+            .add("version", static_cast<std::int64_t>(read.value().version.value()))
+            .add("source", source)
+            .add("bytes", static_cast<std::int64_t>(object.value.size()));
     m_configuration = object;
     m_routes = std::make_shared<route_table>(std::move(read).value());
     m_hooks.onRoutes(m_routes);
@@ -306,7 +312,7 @@
 {
     recordRead(m_loop.now() - other.age);
     if (other.configuration)
-        applyConfiguration(*other.configuration);
+        applyConfiguration(*other.configuration, other.source);
     const bool isOld = other.serversRevision < m_serversRevision ||
                        (other.serversSince && other.serversRevision == m_serversRevision);
     // Changes relative to a revision that is not reached here would omit the changes before it.
--- a/lib/gateway/view_exchange.cpp
+++ b/lib/gateway/view_exchange.cpp
@@ -186,27 +186,30 @@
     const auto asked = isLocalWatcher ? makeRequest(nextBaseRevision(), m_reports.take())
                                       : makeRequest(m_view.serversRevision(), std::nullopt);
     m_http.send(to, asked, requestTimeout,
-                [this, to, isLocalWatcher,
+                [this, to, isLocalWatcher, sentAt = m_loop.now(),
                  alive = std::weak_ptr<int>(m_alive)](const http_outcome &outcome) {
                     if (alive.expired())
                         return;
                     --m_requestsInFlight;
-                    onReply(to, isLocalWatcher, outcome);
+                    onReply(to, isLocalWatcher, m_loop.now() - sentAt, outcome);
                 });
 }
 
-void view_exchange::onReply(const endpoint &from, bool isLocalWatcher, const http_outcome &outcome)
+void view_exchange::onReply(const endpoint &from, bool isLocalWatcher, duration waited,
+                            const http_outcome &outcome)
 {
     constexpr int ok = 200;
     const bool answered = outcome.ok() && outcome.reply.status == ok;
     if (!answered) {
         m_localWatcherFails = m_localWatcherFails || isLocalWatcher;
-        m_log.decision("peer_not_answering").add("address", from.address);
+        m_log.decision("peer_not_answering")
+                .add("address", from.address)
+                .addMs("waited_ms", waited);
         return;
     }
     const auto &documents = m_view.documents();
-    const auto read = decodeSnapshot(
-            outcome.reply.body, {documents.configurationKind, documents.serverKind, instanceKind});
+    auto read = decodeSnapshot(outcome.reply.body,
+                               {documents.configurationKind, documents.serverKind, instanceKind});
     if (!read) {
         m_log.decision("peer_view_refused").add("reason", read.error().message);
         return;
@@ -215,6 +218,7 @@
         m_localWatcherFails = read.value().age > m_freshAge;
         m_reports.onHints(read.value().hints);
     }
+    read.value().source = from.address;
     m_view.merge(read.value());
     m_directory.merge(read.value().instances, read.value().instancesRevision);
 }
@@ -250,7 +254,16 @@
         m_reportPool.add(*position.value().reports, m_loop.now());
         all.hints = m_reportPool.hints(m_loop.now());
     }
-    client.reply({200, {}, encodeSnapshot(all)});
+    std::string body = encodeSnapshot(all);
+    if (all.configuration) {
+        m_log.decision("configuration_sent")
+                .add("to", position.value().requesterAddress
+                                   ? position.value().requesterAddress->address
+                                   : "unknown")
+                .add("version", static_cast<std::int64_t>(m_view.version().value()))
+                .add("bytes", static_cast<std::int64_t>(body.size()));
+    }
+    client.reply({200, {}, std::move(body)});
 }
 
 } // namespace peridotwheel
--- a/lib/gateway/view_exchange.h
+++ b/lib/gateway/view_exchange.h
@@ -65,7 +65,8 @@
     /// Returns the revision from which to request changes of the servers; 0 requests the full list.
     object_version nextBaseRevision();
     void poolOwnReports();
-    void onReply(const endpoint &from, bool isLocalWatcher, const http_outcome &outcome);
+    void onReply(const endpoint &from, bool isLocalWatcher, duration waited,
+                 const http_outcome &outcome);
     endpoint pickRandom(const std::vector<endpoint> &from);
 
     event_loop &m_loop;
