--- a/cmake/packages.sh
+++ b/cmake/packages.sh
@@ -2,7 +2,7 @@
 # ./quickstart.
 packages="g++ cmake ninja-build pkg-config ccache curl clang clang-format clang-tidy libclang-rt-14-dev
 libevent-dev libhttp-parser-dev libthrift-dev thrift-compiler libdocopt-dev libeasyloggingpp-dev libboost-dev libinih-dev
-nlohmann-json3-dev libxxhash-dev librapidcheck-dev libgtest-dev libgmock-dev libbenchmark-dev spin gnuplot-nox"
+nlohmann-json3-dev libxxhash-dev zlib1g-dev librapidcheck-dev libgtest-dev libgmock-dev libbenchmark-dev spin gnuplot-nox"
 
 install_packages() {
     local missing=""
--- a/include/peridotwheel/gateway/cluster_view.h
+++ b/include/peridotwheel/gateway/cluster_view.h
@@ -32,6 +32,8 @@
 struct view_snapshot
 {
     std::optional<platform_object> configuration;
+    /// Version in force at the sender, whether or not the configuration is included.
+    configuration_version configurationVersion;
     /// Revision of the store up to which the servers are known.
     object_version serversRevision;
     /// If present, `servers` holds only the entries that changed after this revision, and
@@ -93,6 +95,10 @@
     /// Merges the parts of another instance's view that are newer. The view here also adopts the
     /// other one's age if that is lower, since it is then at least as current.
     void merge(const view_snapshot &other);
+    /// Puts a configuration into force if it is newer. \p source is named in the log.
+    void applyConfiguration(const platform_object &object, std::string_view source);
+    /// Returns the store object of the configuration in force, if any.
+    const std::optional<platform_object> &configuration() const { return m_configuration; }
     /// Returns the time since the store was last read for this view, by this instance or by another
     /// one that supplied it.
     duration age() const;
@@ -107,7 +113,6 @@
     bool isStoreUnavailable() const;
 
 private:
-    void applyConfiguration(const platform_object &object, std::string_view source);
     void onServersRead(const watch_result &read, bool isFullList);
     void store(const platform_object &object);
     void applyServer(const platform_object &object);
--- a/include/peridotwheel/gateway/gateway_settings.h
+++ b/include/peridotwheel/gateway/gateway_settings.h
@@ -31,6 +31,8 @@
     extra_attempt_limits extraAttempts;
     /// A change of the configuration or of a server must be applied within this time.
     duration applyWithin = seconds(3);
+    /// Bandwidth of this instance's link.
+    byte_rate link = byte_rate::fromMegabits(100);
     /// The process is killed this long after it was asked to stop.
     duration stopWithin = seconds(6);
     /// Parts of the operators' rules that are in force.
--- a/include/peridotwheel/support/units.h
+++ b/include/peridotwheel/support/units.h
@@ -41,6 +41,27 @@
     return duration(static_cast<duration::rep>(static_cast<double>(d.count()) * factor));
 }
 
+/// A rate of data transfer.
+class byte_rate
+{
+public:
+    constexpr explicit byte_rate(double bytesPerSecond)
+        : m_bytesPerSecond(bytesPerSecond)
+    {
+    }
+    static constexpr byte_rate fromMegabits(double megabitsPerSecond)
+    {
+        return byte_rate(megabitsPerSecond * 1e6 / 8);
+    }
+
+    constexpr double bytesPerSecond() const { return m_bytesPerSecond; }
+    /// Returns the number of bytes transferred in \p d.
+    double bytesIn(duration d) const { return m_bytesPerSecond * toMilliseconds(d) / 1000.0; }
+
+private:
+    double m_bytesPerSecond;
+};
+
 } // namespace peridotwheel
 
 #endif
--- a/lib/gateway/cluster_view.cpp
+++ b/lib/gateway/cluster_view.cpp
@@ -150,6 +150,9 @@
 {
     if (object.key.name != m_documents.configurationName)
         return;
+    // Parsing a large document takes long, so one that is known is not parsed again.
+    if (m_configuration && object.version <= m_configuration->version)
+        return;
     auto read = m_documents.readConfiguration(object);
     if (!read) {
         m_log.state("configuration_refused").add("reason", read.error().message);
@@ -289,6 +292,7 @@
     view_snapshot s;
     s.age = age();
     s.configuration = m_configuration;
+    s.configurationVersion = version();
     s.serversRevision = m_serversRevision;
     if (known.value() != 0 && known >= m_historyStart)
         s.serversSince = known;
--- a/lib/gateway/gateway_instance.cpp
+++ b/lib/gateway/gateway_instance.cpp
@@ -102,7 +102,8 @@
              std::move(environment.documents),
              {[this](route_table_ptr routes) { m_gateway.setRoutes(std::move(routes)); },
               [this](const backend_map &servers) { m_gateway.setServers(servers); }})
-    , m_exchange(loop, m_view, m_directory, environment.http, log, seed, m_settings.applyWithin,
+    , m_exchange(loop, m_view, m_directory, environment.http, log,
+                 {seed, m_settings.applyWithin, m_settings.link},
                  {[this] { return m_gateway.takeReports(); },
                   [this](const server_hints &hints) { m_gateway.setHints(hints); }})
     , m_callers(
--- a/lib/gateway/gateway_settings.cpp
+++ b/lib/gateway/gateway_settings.cpp
@@ -19,6 +19,9 @@
 constexpr std::size_t maxFileBytes = 64 * 1024;
 constexpr double maxSeconds = 3600;
 constexpr double maxAttemptsConstant = 1e6;
+constexpr double minLinkMegabits = 0.1;
+constexpr double maxLinkMegabits = 1e6;
+constexpr double defaultLinkMegabits = 100;
 
 using value_map = std::map<std::string, std::string>;
 
@@ -172,6 +175,8 @@
     s.store = reader.address("store.address");
     s.seeds = reader.addresses("peers.seeds");
     s.firstStart = reader.flag("instance.first_start");
+    s.link = byte_rate::fromMegabits(reader.number("instance.link_mbit", minLinkMegabits,
+                                                   maxLinkMegabits, defaultLinkMegabits));
     s.contracts = reader.list("rules.contracts");
     for (const auto &[dataCentre, region] : reader.section("regions"))
         s.regions[data_centre_id(dataCentre)] = region_id(region);
--- a/lib/gateway/view_codec.cpp
+++ b/lib/gateway/view_codec.cpp
@@ -2,46 +2,15 @@
 
 #include "peer_types.h"
 #include "peridotwheel/support/endpoint_text.h"
+#include "thrift_text.h"
 
 #include <algorithm>
 #include <limits>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 
 namespace peridotwheel {
 
 namespace {
 
-using apache::thrift::transport::TMemoryBuffer;
-using protocol = apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer>;
-
-template <class Message>
-std::string encode(const Message &message)
-{
-    auto buffer = std::make_shared<TMemoryBuffer>();
-    protocol out(buffer);
-    message.write(&out);
-    return buffer->getBufferAsString();
-}
-
-template <class Message>
-result<Message> decode(const std::string &text)
-{
-    try {
-        auto buffer = std::make_shared<TMemoryBuffer>(
-                reinterpret_cast<std::uint8_t *>(const_cast<char *>(text.data())),
-                static_cast<std::uint32_t>(text.size()));
-        protocol in(buffer);
-        Message message;
-        message.read(&in);
-        return message;
-    } catch (const std::exception &e) {
-        return failure(error_kind::InvalidArgument,
-                       std::string("the view message of another instance is malformed: ") +
-                               e.what());
-    }
-}
-
 wire::ViewObject toWire(const platform_object &object)
 {
     wire::ViewObject out;
@@ -137,12 +106,13 @@
         out.__set_askerAt(endpointText(*position.requesterAddress));
     if (position.reports)
         out.__set_reports(toWire(*position.reports));
-    return encode(out);
+    out.__set_fetchesConfiguration(position.fetchesConfiguration);
+    return encodeThrift(out);
 }
 
 result<view_position> decodePosition(const std::string &text)
 {
-    BOOST_OUTCOME_TRY(in, decode<wire::ViewRequest>(text));
+    BOOST_OUTCOME_TRY(in, decodeThrift<wire::ViewRequest>(text));
     view_position out;
     out.configuration = configuration_version(static_cast<std::uint64_t>(in.configurationVersion));
     out.serversRevision = object_version(static_cast<std::uint64_t>(in.serversAt));
@@ -151,6 +121,7 @@
         out.requesterAddress = parseEndpoint(in.askerAt);
     if (in.__isset.reports)
         out.reports = fromWire(in.reports);
+    out.fetchesConfiguration = in.__isset.fetchesConfiguration && in.fetchesConfiguration;
     return out;
 }
 
@@ -159,6 +130,8 @@
     wire::ViewReply out;
     out.ageMs = std::chrono::duration_cast<milliseconds>(snapshot.age).count();
     out.missingForMs = std::chrono::duration_cast<milliseconds>(snapshot.missingGrace).count();
+    out.__set_configurationVersion(
+            static_cast<std::int64_t>(snapshot.configurationVersion.value()));
     if (snapshot.configuration)
         out.__set_configuration(toWire(*snapshot.configuration));
     if (snapshot.serversRevision.value() != 0)
@@ -175,16 +148,20 @@
         out.instances.push_back(toWire(instance));
     if (!snapshot.hints.empty())
         out.__set_hints(toWire(snapshot.hints));
-    return encode(out);
+    return encodeThrift(out);
 }
 
 result<view_snapshot> decodeSnapshot(const std::string &text, const view_kinds &kinds)
 {
-    BOOST_OUTCOME_TRY(in, decode<wire::ViewReply>(text));
+    BOOST_OUTCOME_TRY(in, decodeThrift<wire::ViewReply>(text));
     view_snapshot out;
     out.age = milliseconds(std::max<std::int64_t>(in.ageMs, 0));
     out.missingGrace = std::clamp(duration(milliseconds(in.missingForMs)), duration::zero(),
                                   duration(cluster_view::reregistrationGrace));
+    if (in.__isset.configurationVersion) {
+        out.configurationVersion =
+                configuration_version(static_cast<std::uint64_t>(in.configurationVersion));
+    }
     if (in.__isset.configuration)
         out.configuration = fromWire(in.configuration, kinds.configuration);
     if (in.__isset.serversAt)
--- a/lib/gateway/view_codec.h
+++ b/lib/gateway/view_codec.h
@@ -19,6 +19,9 @@
     std::optional<endpoint> requesterAddress;
     /// The requester's measurements of the servers; if present, the reply includes hints.
     std::optional<server_reports> reports;
+    /// Whether the requester fetches configurations separately, in chunks. Earlier versions of the
+    /// program do not.
+    bool fetchesConfiguration = false;
 };
 
 std::string encodePosition(const view_position &position);
--- a/lib/gateway/view_exchange.cpp
+++ b/lib/gateway/view_exchange.cpp
@@ -34,23 +34,32 @@
 } // namespace
 
 view_exchange::view_exchange(event_loop &loop, cluster_view &view, instance_directory &directory,
-                             http_client &http, decision_log &log, std::uint64_t seed,
-                             duration applyWithin, report_hooks reports)
+                             http_client &http, decision_log &log,
+                             const view_exchange_options &options, report_hooks reports)
     : m_loop(loop)
     , m_view(view)
     , m_directory(directory)
     , m_http(http)
     , m_log(log)
-    , m_random(seed)
+    , m_random(options.seed)
     , m_self(directory.self())
-    , m_freshAge(scaled(applyWithin, freshAgeFraction))
-    , m_staleAge(scaled(applyWithin, staleAgeFraction))
+    , m_freshAge(scaled(options.applyWithin, freshAgeFraction))
+    , m_staleAge(scaled(options.applyWithin, staleAgeFraction))
     , m_startedAt(loop.now())
     , m_sweeper(loop, m_self,
                 {[this](const member &target, std::function<void(bool answered)> done) {
                      probe(target, std::move(done));
                  },
                  [this](const member &target) { m_directory.removeLost(target.id); }})
+    , m_configurationSource(options.link, loop.now())
+    , m_configurationFetcher(loop, http, log, view.documents().configurationKind,
+                             directory.self().peers, options.seed,
+                             {[this] { return m_view.version(); },
+                              [this](configuration_document document, const platform_object &object,
+                                     const endpoint &source) {
+                                  m_configurationSource.setNewest(std::move(document));
+                                  m_view.applyConfiguration(object, source.address);
+                              }})
     , m_reports(std::move(reports))
 {
 }
@@ -92,7 +101,7 @@
     input.sinceStart = m_loop.now() - m_startedAt;
     // A new instance has no view yet, so its age counts from the start: the watchers get the same
     // time to supply one as for a change.
-    input.viewAge = std::min(m_view.age(), input.sinceStart);
+    input.viewAge = std::min(viewAge(), input.sinceStart);
     input.staleAge = m_staleAge;
     m_view.setWatching(shouldWatch(input));
     m_directory.setReading(m_view.isWatching());
@@ -101,6 +110,11 @@
     m_sweeper.setActive(m_hasMembers && m_view.isWatching() && !m_view.isStoreUnavailable());
 }
 
+duration view_exchange::viewAge() const
+{
+    return std::max(m_view.age(), m_configurationFetcher.behindFor());
+}
+
 void view_exchange::runCycle()
 {
     updateRole();
@@ -162,8 +176,8 @@
     http_request request;
     request.method = http_method::Post;
     request.path = viewPath;
-    request.body = encodePosition(
-            {m_view.version(), known, m_directory.revision(), m_self.peers, std::move(reports)});
+    request.body = encodePosition({m_view.version(), known, m_directory.revision(), m_self.peers,
+                                   std::move(reports), true});
     return request;
 }
 
@@ -220,50 +234,82 @@
     }
     read.value().source = from.address;
     m_view.merge(read.value());
+    m_configurationFetcher.announce(read.value().configurationVersion, from);
     m_directory.merge(read.value().instances, read.value().instancesRevision);
 }
 
 void view_exchange::handleRequest(const opaque_request &request, http_responder &client)
 {
-    const auto position = decodePosition(request.body);
-    if (request.target != viewPath || !position) {
-        client.reply({404, {}, "only POST /peer/view with the requester's position is answered\n"});
-        return;
+    if (request.target == viewPath) {
+        if (const auto position = decodePosition(request.body))
+            return sendView(position.value(), client);
     }
-    const bool requesterIsAhead = m_view.version() < position.value().configuration ||
-                                  m_view.serversRevision() < position.value().serversRevision;
+    if (request.target == configurationPath) {
+        if (const auto wanted = decodeConfigurationRequest(request.body))
+            return sendConfiguration(wanted.value(), client);
+    }
+    client.reply({404,
+                  {},
+                  "only POST /peer/view with the requester's position and "
+                  "POST /peer/configuration with its version are answered\n"});
+}
+
+void view_exchange::sendView(const view_position &position, http_responder &client)
+{
+    const bool requesterIsAhead = m_view.version() < position.configuration ||
+                                  m_view.serversRevision() < position.serversRevision;
     // After a restart of many instances, no other instance may have the address of the requester,
     // which still has a view. If the view here is not stale, changes arrive through the regular
     // exchange.
-    if (requesterIsAhead && position.value().requesterAddress && m_view.age() > m_staleAge)
-        requestView(*position.value().requesterAddress, false);
-    view_snapshot all = m_view.snapshot(position.value().serversRevision);
-    if (m_view.version() <= position.value().configuration)
+    if (requesterIsAhead && position.requesterAddress && viewAge() > m_staleAge) {
+        requestView(*position.requesterAddress, false);
+        m_configurationFetcher.announce(position.configuration, *position.requesterAddress);
+    }
+    if (position.requesterAddress)
+        m_configurationSource.recordHolder(*position.requesterAddress, position.configuration);
+    view_snapshot all = m_view.snapshot(position.serversRevision);
+    all.age = viewAge();
+    if (position.fetchesConfiguration || m_view.version() <= position.configuration)
         all.configuration.reset();
-    if (all.serversRevision <= position.value().serversRevision) {
+    if (all.serversRevision <= position.serversRevision) {
         all.serversRevision = object_version();
         all.serversSince.reset();
         all.servers.clear();
         all.removedServers.clear();
     }
-    if (m_directory.lastChangeRevision() > position.value().instancesRevision) {
+    if (m_directory.lastChangeRevision() > position.instancesRevision) {
         all.instancesRevision = m_directory.revision();
         all.instances = m_directory.objects();
     }
-    if (position.value().reports) {
-        m_reportPool.add(*position.value().reports, m_loop.now());
+    if (position.reports) {
+        m_reportPool.add(*position.reports, m_loop.now());
         all.hints = m_reportPool.hints(m_loop.now());
     }
-    std::string body = encodeSnapshot(all);
-    if (all.configuration) {
+    client.reply({200, {}, encodeSnapshot(all)});
+}
+
+void view_exchange::offerConfiguration()
+{
+    if (!m_view.configuration())
+        return;
+    const auto offered = m_configurationSource.setNewest(m_view.version(), *m_view.configuration());
+    if (!offered)
+        m_log.state("configuration_not_offered").add("reason", offered.error().message);
+}
+
+void view_exchange::sendConfiguration(const configuration_request &request, http_responder &client)
+{
+    offerConfiguration();
+    const configuration_reply reply = m_configurationSource.answer(request, m_loop.now());
+    const bool isLastChunk =
+            !reply.chunk.empty() && reply.offset + reply.chunk.size() == reply.documentBytes;
+    if (isLastChunk) {
         m_log.decision("configuration_sent")
-                .add("to", position.value().requesterAddress
-                                   ? position.value().requesterAddress->address
-                                   : "unknown")
-                .add("version", static_cast<std::int64_t>(m_view.version().value()))
-                .add("bytes", static_cast<std::int64_t>(body.size()));
+                .add("to", request.requesterAddress.address)
+                .add("version", static_cast<std::int64_t>(reply.document.version.value()))
+                .add("bytes", static_cast<std::int64_t>(reply.documentBytes));
     }
-    client.reply({200, {}, std::move(body)});
+    client.reply({200, {}, encodeConfigurationReply(reply)});
 }
 
 } // namespace peridotwheel
--- a/lib/gateway/view_exchange.h
+++ b/lib/gateway/view_exchange.h
@@ -1,6 +1,8 @@
 #ifndef PERIDOTWHEEL_LIB_GATEWAY_VIEW_EXCHANGE_H
 #define PERIDOTWHEEL_LIB_GATEWAY_VIEW_EXCHANGE_H
 
+#include "configuration_fetcher.h"
+#include "configuration_source.h"
 #include "member_sweeper.h"
 #include "peridotwheel/gateway/cluster_view.h"
 #include "peridotwheel/http/http_client.h"
@@ -8,6 +10,7 @@
 #include "peridotwheel/membership/member.h"
 #include "peridotwheel/support/random_source.h"
 #include "report_aggregator.h"
+#include "view_codec.h"
 
 #include <functional>
 #include <memory>
@@ -28,15 +31,23 @@
     std::function<void(const server_hints &hints)> onHints;
 };
 
+struct view_exchange_options
+{
+    std::uint64_t seed = 0;
+    /// Longest time from a change in the store until this instance applies it.
+    duration applyWithin = seconds(3);
+    /// Bandwidth of this instance's link.
+    byte_rate link = byte_rate::fromMegabits(100);
+};
+
 /// Keeps the view of this instance current: by watching the store, or by requesting the view from
 /// an instance of the same data centre that does, and from any other one while those do not answer
 /// or have an old view themselves.
 class view_exchange
 {
 public:
-    /// \p applyWithin bounds the time from a change in the store until this instance applies it.
     view_exchange(event_loop &loop, cluster_view &view, instance_directory &directory,
-                  http_client &http, decision_log &log, std::uint64_t seed, duration applyWithin,
+                  http_client &http, decision_log &log, const view_exchange_options &options,
                   report_hooks reports);
     view_exchange(const view_exchange &) = delete;
     view_exchange &operator=(const view_exchange &) = delete;
@@ -46,11 +57,17 @@
     /// Sets the addresses to request the view from while no other members are known.
     void setSeeds(std::vector<endpoint> seeds) { m_seeds = std::move(seeds); }
     void setMembers(const member_map &members);
-    /// Replies with the view. If the requester's view is newer and the one here is stale, also
-    /// requests the requester's view.
+    /// Replies to another instance's request for the view or for a part of the configuration.
     void handleRequest(const opaque_request &request, http_responder &client);
 
 private:
+    /// Replies with the view. If the requester's view is newer and the one here is stale, also
+    /// requests the requester's view.
+    void sendView(const view_position &position, http_responder &client);
+    void sendConfiguration(const configuration_request &request, http_responder &client);
+    void offerConfiguration();
+    /// Returns the age of the view, or the time for which its configuration has been outdated.
+    duration viewAge() const;
     void runCycle();
     void updateRole();
     void requestFromLocalWatcher();
@@ -91,6 +108,8 @@
     time_point m_nextFullView{};
     bool m_localWatcherFails = false;
     member_sweeper m_sweeper;
+    configuration_source m_configurationSource;
+    configuration_fetcher m_configurationFetcher;
     report_hooks m_reports;
     report_aggregator m_reportPool;
     timer m_timer;
--- a/lib/peer/gen/peer_types.cpp
+++ b/lib/peer/gen/peer_types.cpp
@@ -2000,6 +2000,11 @@
   this->reports = val;
 __isset.reports = true;
 }
+
+void ViewRequest::__set_fetchesConfiguration(const bool val) {
+  this->fetchesConfiguration = val;
+__isset.fetchesConfiguration = true;
+}
 std::ostream& operator<<(std::ostream& out, const ViewRequest& obj)
 {
   obj.printTo(out);
@@ -2083,6 +2088,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->fetchesConfiguration);
+          this->__isset.fetchesConfiguration = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2136,6 +2149,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.fetchesConfiguration) {
+    xfer += oprot->writeFieldBegin("fetchesConfiguration", ::apache::thrift::protocol::T_BOOL, 6);
+    xfer += oprot->writeBool(this->fetchesConfiguration);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2148,6 +2166,7 @@
   swap(a.instancesAt, b.instancesAt);
   swap(a.askerAt, b.askerAt);
   swap(a.reports, b.reports);
+  swap(a.fetchesConfiguration, b.fetchesConfiguration);
   swap(a.__isset, b.__isset);
 }
 
@@ -2157,6 +2176,7 @@
   instancesAt = other66.instancesAt;
   askerAt = other66.askerAt;
   reports = other66.reports;
+  fetchesConfiguration = other66.fetchesConfiguration;
   __isset = other66.__isset;
 }
 ViewRequest& ViewRequest::operator=(const ViewRequest& other67) {
@@ -2165,6 +2185,7 @@
   instancesAt = other67.instancesAt;
   askerAt = other67.askerAt;
   reports = other67.reports;
+  fetchesConfiguration = other67.fetchesConfiguration;
   __isset = other67.__isset;
   return *this;
 }
@@ -2176,6 +2197,7 @@
   out << ", " << "instancesAt=" << to_string(instancesAt);
   out << ", " << "askerAt="; (__isset.askerAt ? (out << to_string(askerAt)) : (out << "<null>"));
   out << ", " << "reports="; (__isset.reports ? (out << to_string(reports)) : (out << "<null>"));
+  out << ", " << "fetchesConfiguration="; (__isset.fetchesConfiguration ? (out << to_string(fetchesConfiguration)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2689,6 +2711,11 @@
   this->goneServers = val;
 __isset.goneServers = true;
 }
+
+void ViewReply::__set_configurationVersion(const int64_t val) {
+  this->configurationVersion = val;
+__isset.configurationVersion = true;
+}
 std::ostream& operator<<(std::ostream& out, const ViewReply& obj)
 {
   obj.printTo(out);
@@ -2849,6 +2876,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configurationVersion);
+          this->__isset.configurationVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2952,6 +2987,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.configurationVersion) {
+    xfer += oprot->writeFieldBegin("configurationVersion", ::apache::thrift::protocol::T_I64, 11);
+    xfer += oprot->writeI64(this->configurationVersion);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2969,6 +3009,7 @@
   swap(a.hints, b.hints);
   swap(a.serversSince, b.serversSince);
   swap(a.goneServers, b.goneServers);
+  swap(a.configurationVersion, b.configurationVersion);
   swap(a.__isset, b.__isset);
 }
 
@@ -2983,6 +3024,7 @@
   hints = other98.hints;
   serversSince = other98.serversSince;
   goneServers = other98.goneServers;
+  configurationVersion = other98.configurationVersion;
   __isset = other98.__isset;
 }
 ViewReply& ViewReply::operator=(const ViewReply& other99) {
@@ -2996,6 +3038,7 @@
   hints = other99.hints;
   serversSince = other99.serversSince;
   goneServers = other99.goneServers;
+  configurationVersion = other99.configurationVersion;
   __isset = other99.__isset;
   return *this;
 }
@@ -3012,6 +3055,464 @@
   out << ", " << "hints="; (__isset.hints ? (out << to_string(hints)) : (out << "<null>"));
   out << ", " << "serversSince="; (__isset.serversSince ? (out << to_string(serversSince)) : (out << "<null>"));
   out << ", " << "goneServers="; (__isset.goneServers ? (out << to_string(goneServers)) : (out << "<null>"));
+  out << ", " << "configurationVersion="; (__isset.configurationVersion ? (out << to_string(configurationVersion)) : (out << "<null>"));
+  out << ")";
+}
+
+
+ConfigurationRequest::~ConfigurationRequest() noexcept {
+}
+
+
+void ConfigurationRequest::__set_knownVersion(const int64_t val) {
+  this->knownVersion = val;
+}
+
+void ConfigurationRequest::__set_documentChecksum(const int64_t val) {
+  this->documentChecksum = val;
+}
+
+void ConfigurationRequest::__set_offset(const int32_t val) {
+  this->offset = val;
+}
+
+void ConfigurationRequest::__set_askerAt(const std::string& val) {
+  this->askerAt = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigurationRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigurationRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_knownVersion = false;
+  bool isset_documentChecksum = false;
+  bool isset_offset = false;
+  bool isset_askerAt = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->knownVersion);
+          isset_knownVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->documentChecksum);
+          isset_documentChecksum = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->offset);
+          isset_offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->askerAt);
+          isset_askerAt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_knownVersion)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_documentChecksum)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_offset)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_askerAt)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ConfigurationRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigurationRequest");
+
+  xfer += oprot->writeFieldBegin("knownVersion", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->knownVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("documentChecksum", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->documentChecksum);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("askerAt", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->askerAt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigurationRequest &a, ConfigurationRequest &b) {
+  using ::std::swap;
+  swap(a.knownVersion, b.knownVersion);
+  swap(a.documentChecksum, b.documentChecksum);
+  swap(a.offset, b.offset);
+  swap(a.askerAt, b.askerAt);
+}
+
+ConfigurationRequest::ConfigurationRequest(const ConfigurationRequest& other100) {
+  knownVersion = other100.knownVersion;
+  documentChecksum = other100.documentChecksum;
+  offset = other100.offset;
+  askerAt = other100.askerAt;
+}
+ConfigurationRequest& ConfigurationRequest::operator=(const ConfigurationRequest& other101) {
+  knownVersion = other101.knownVersion;
+  documentChecksum = other101.documentChecksum;
+  offset = other101.offset;
+  askerAt = other101.askerAt;
+  return *this;
+}
+void ConfigurationRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigurationRequest(";
+  out << "knownVersion=" << to_string(knownVersion);
+  out << ", " << "documentChecksum=" << to_string(documentChecksum);
+  out << ", " << "offset=" << to_string(offset);
+  out << ", " << "askerAt=" << to_string(askerAt);
+  out << ")";
+}
+
+
+ConfigurationReply::~ConfigurationReply() noexcept {
+}
+
+
+void ConfigurationReply::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void ConfigurationReply::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void ConfigurationReply::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void ConfigurationReply::__set_textBytes(const int32_t val) {
+  this->textBytes = val;
+}
+
+void ConfigurationReply::__set_documentBytes(const int32_t val) {
+  this->documentBytes = val;
+}
+
+void ConfigurationReply::__set_documentChecksum(const int64_t val) {
+  this->documentChecksum = val;
+}
+
+void ConfigurationReply::__set_offset(const int32_t val) {
+  this->offset = val;
+}
+
+void ConfigurationReply::__set_chunk(const std::string& val) {
+  this->chunk = val;
+}
+
+void ConfigurationReply::__set_holders(const std::vector<std::string> & val) {
+  this->holders = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigurationReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigurationReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_version = false;
+  bool isset_name = false;
+  bool isset_revision = false;
+  bool isset_textBytes = false;
+  bool isset_documentBytes = false;
+  bool isset_documentChecksum = false;
+  bool isset_offset = false;
+  bool isset_chunk = false;
+  bool isset_holders = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          isset_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          isset_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          isset_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->textBytes);
+          isset_textBytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->documentBytes);
+          isset_documentBytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->documentChecksum);
+          isset_documentChecksum = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->offset);
+          isset_offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->chunk);
+          isset_chunk = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->holders.clear();
+            uint32_t _size102;
+            ::apache::thrift::protocol::TType _etype105;
+            xfer += iprot->readListBegin(_etype105, _size102);
+            this->holders.resize(_size102);
+            uint32_t _i106;
+            for (_i106 = 0; _i106 < _size102; ++_i106)
+            {
+              xfer += iprot->readString(this->holders[_i106]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_holders = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_version)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_name)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_revision)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_textBytes)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_documentBytes)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_documentChecksum)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_offset)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_chunk)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_holders)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ConfigurationReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigurationReply");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("textBytes", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->textBytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("documentBytes", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->documentBytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("documentChecksum", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->documentChecksum);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("chunk", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeBinary(this->chunk);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->holders.size()));
+    std::vector<std::string> ::const_iterator _iter107;
+    for (_iter107 = this->holders.begin(); _iter107 != this->holders.end(); ++_iter107)
+    {
+      xfer += oprot->writeString((*_iter107));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigurationReply &a, ConfigurationReply &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.name, b.name);
+  swap(a.revision, b.revision);
+  swap(a.textBytes, b.textBytes);
+  swap(a.documentBytes, b.documentBytes);
+  swap(a.documentChecksum, b.documentChecksum);
+  swap(a.offset, b.offset);
+  swap(a.chunk, b.chunk);
+  swap(a.holders, b.holders);
+}
+
+ConfigurationReply::ConfigurationReply(const ConfigurationReply& other108) {
+  version = other108.version;
+  name = other108.name;
+  revision = other108.revision;
+  textBytes = other108.textBytes;
+  documentBytes = other108.documentBytes;
+  documentChecksum = other108.documentChecksum;
+  offset = other108.offset;
+  chunk = other108.chunk;
+  holders = other108.holders;
+}
+ConfigurationReply& ConfigurationReply::operator=(const ConfigurationReply& other109) {
+  version = other109.version;
+  name = other109.name;
+  revision = other109.revision;
+  textBytes = other109.textBytes;
+  documentBytes = other109.documentBytes;
+  documentChecksum = other109.documentChecksum;
+  offset = other109.offset;
+  chunk = other109.chunk;
+  holders = other109.holders;
+  return *this;
+}
+void ConfigurationReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigurationReply(";
+  out << "version=" << to_string(version);
+  out << ", " << "name=" << to_string(name);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "textBytes=" << to_string(textBytes);
+  out << ", " << "documentBytes=" << to_string(documentBytes);
+  out << ", " << "documentChecksum=" << to_string(documentChecksum);
+  out << ", " << "offset=" << to_string(offset);
+  out << ", " << "chunk=" << to_string(chunk);
+  out << ", " << "holders=" << to_string(holders);
   out << ")";
 }
 
--- a/lib/peer/gen/peer_types.h
+++ b/lib/peer/gen/peer_types.h
@@ -49,6 +49,10 @@
 
 class ViewReply;
 
+class ConfigurationRequest;
+
+class ConfigurationReply;
+
 
 class MemberUpdate : public virtual ::apache::thrift::TBase {
  public:
@@ -661,9 +665,10 @@
 std::ostream& operator<<(std::ostream& out, const RelayCancel& obj);
 
 typedef struct _ViewRequest__isset {
-  _ViewRequest__isset() : askerAt(false), reports(false) {}
+  _ViewRequest__isset() : askerAt(false), reports(false), fetchesConfiguration(false) {}
   bool askerAt :1;
   bool reports :1;
+  bool fetchesConfiguration :1;
 } _ViewRequest__isset;
 
 class ViewRequest : public virtual ::apache::thrift::TBase {
@@ -675,7 +680,8 @@
               : configurationVersion(0),
                 serversAt(0),
                 instancesAt(0),
-                askerAt() {
+                askerAt(),
+                fetchesConfiguration(0) {
   }
 
   virtual ~ViewRequest() noexcept;
@@ -684,6 +690,7 @@
   int64_t instancesAt;
   std::string askerAt;
   std::vector<ServerReport>  reports;
+  bool fetchesConfiguration;
 
   _ViewRequest__isset __isset;
 
@@ -697,6 +704,8 @@
 
   void __set_reports(const std::vector<ServerReport> & val);
 
+  void __set_fetchesConfiguration(const bool val);
+
   bool operator == (const ViewRequest & rhs) const
   {
     if (!(configurationVersion == rhs.configurationVersion))
@@ -713,6 +722,10 @@
       return false;
     else if (__isset.reports && !(reports == rhs.reports))
       return false;
+    if (__isset.fetchesConfiguration != rhs.__isset.fetchesConfiguration)
+      return false;
+    else if (__isset.fetchesConfiguration && !(fetchesConfiguration == rhs.fetchesConfiguration))
+      return false;
     return true;
   }
   bool operator != (const ViewRequest &rhs) const {
@@ -891,13 +904,14 @@
 std::ostream& operator<<(std::ostream& out, const ViewObject& obj);
 
 typedef struct _ViewReply__isset {
-  _ViewReply__isset() : configuration(false), serversAt(false), instancesAt(false), hints(false), serversSince(false), goneServers(false) {}
+  _ViewReply__isset() : configuration(false), serversAt(false), instancesAt(false), hints(false), serversSince(false), goneServers(false), configurationVersion(false) {}
   bool configuration :1;
   bool serversAt :1;
   bool instancesAt :1;
   bool hints :1;
   bool serversSince :1;
   bool goneServers :1;
+  bool configurationVersion :1;
 } _ViewReply__isset;
 
 class ViewReply : public virtual ::apache::thrift::TBase {
@@ -910,7 +924,8 @@
               ageMs(0),
               instancesAt(0),
               missingForMs(0),
-              serversSince(0) {
+              serversSince(0),
+              configurationVersion(0) {
   }
 
   virtual ~ViewReply() noexcept;
@@ -924,6 +939,7 @@
   std::vector<ServerHint>  hints;
   int64_t serversSince;
   std::vector<std::string>  goneServers;
+  int64_t configurationVersion;
 
   _ViewReply__isset __isset;
 
@@ -947,6 +963,8 @@
 
   void __set_goneServers(const std::vector<std::string> & val);
 
+  void __set_configurationVersion(const int64_t val);
+
   bool operator == (const ViewReply & rhs) const
   {
     if (__isset.configuration != rhs.__isset.configuration)
@@ -981,6 +999,10 @@
       return false;
     else if (__isset.goneServers && !(goneServers == rhs.goneServers))
       return false;
+    if (__isset.configurationVersion != rhs.__isset.configurationVersion)
+      return false;
+    else if (__isset.configurationVersion && !(configurationVersion == rhs.configurationVersion))
+      return false;
     return true;
   }
   bool operator != (const ViewReply &rhs) const {
@@ -999,6 +1021,145 @@
 
 std::ostream& operator<<(std::ostream& out, const ViewReply& obj);
 
+
+class ConfigurationRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConfigurationRequest(const ConfigurationRequest&);
+  ConfigurationRequest& operator=(const ConfigurationRequest&);
+  ConfigurationRequest() noexcept
+                       : knownVersion(0),
+                         documentChecksum(0),
+                         offset(0),
+                         askerAt() {
+  }
+
+  virtual ~ConfigurationRequest() noexcept;
+  int64_t knownVersion;
+  int64_t documentChecksum;
+  int32_t offset;
+  std::string askerAt;
+
+  void __set_knownVersion(const int64_t val);
+
+  void __set_documentChecksum(const int64_t val);
+
+  void __set_offset(const int32_t val);
+
+  void __set_askerAt(const std::string& val);
+
+  bool operator == (const ConfigurationRequest & rhs) const
+  {
+    if (!(knownVersion == rhs.knownVersion))
+      return false;
+    if (!(documentChecksum == rhs.documentChecksum))
+      return false;
+    if (!(offset == rhs.offset))
+      return false;
+    if (!(askerAt == rhs.askerAt))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfigurationRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfigurationRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfigurationRequest &a, ConfigurationRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfigurationRequest& obj);
+
+
+class ConfigurationReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConfigurationReply(const ConfigurationReply&);
+  ConfigurationReply& operator=(const ConfigurationReply&);
+  ConfigurationReply() noexcept
+                     : version(0),
+                       name(),
+                       revision(0),
+                       textBytes(0),
+                       documentBytes(0),
+                       documentChecksum(0),
+                       offset(0),
+                       chunk() {
+  }
+
+  virtual ~ConfigurationReply() noexcept;
+  int64_t version;
+  std::string name;
+  int64_t revision;
+  int32_t textBytes;
+  int32_t documentBytes;
+  int64_t documentChecksum;
+  int32_t offset;
+  std::string chunk;
+  std::vector<std::string>  holders;
+
+  void __set_version(const int64_t val);
+
+  void __set_name(const std::string& val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_textBytes(const int32_t val);
+
+  void __set_documentBytes(const int32_t val);
+
+  void __set_documentChecksum(const int64_t val);
+
+  void __set_offset(const int32_t val);
+
+  void __set_chunk(const std::string& val);
+
+  void __set_holders(const std::vector<std::string> & val);
+
+  bool operator == (const ConfigurationReply & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(name == rhs.name))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(textBytes == rhs.textBytes))
+      return false;
+    if (!(documentBytes == rhs.documentBytes))
+      return false;
+    if (!(documentChecksum == rhs.documentChecksum))
+      return false;
+    if (!(offset == rhs.offset))
+      return false;
+    if (!(chunk == rhs.chunk))
+      return false;
+    if (!(holders == rhs.holders))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfigurationReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfigurationReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfigurationReply &a, ConfigurationReply &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfigurationReply& obj);
+
 }} // namespace
 
 #endif
--- a/proto/peer.thrift
+++ b/proto/peer.thrift
@@ -99,6 +99,9 @@
   4: optional string askerAt
   // Set only by instances of the same data centre, which request hints in the reply.
   5: optional list<ServerReport> reports
+  // Set if the sender fetches configurations by ConfigurationRequest, so that the reply need not
+  // contain one.
+  6: optional bool fetchesConfiguration
 }
 
 // Measurements of one server by one instance since its last report.
@@ -143,4 +146,35 @@
   // this revision.
   9: optional i64 serversSince
   10: optional list<string> goneServers
+  // Version of the configuration in force at the sender.
+  11: optional i64 configurationVersion
+}
+
+// The body of `POST /peer/configuration`: requests one chunk of the newest configuration, which is
+// compressed with zlib.
+struct ConfigurationRequest {
+  // Version that the sender has; the reply is empty unless there is a newer one.
+  1: required i64 knownVersion
+  // Document of which the sender has the first `offset` bytes; a checksum of 0 stands for none.
+  2: required i64 documentChecksum
+  3: required i32 offset
+  // Address, as IP:PORT, at which the sender itself answers such requests.
+  4: required string askerAt
+}
+
+// The reply to a ConfigurationRequest.
+struct ConfigurationReply {
+  1: required i64 version
+  // Name and revision of the object in the platform's store.
+  2: required string name
+  3: required i64 revision
+  // Size of the document's text, and size and checksum of its compressed form.
+  4: required i32 textBytes
+  5: required i32 documentBytes
+  6: required i64 documentChecksum
+  // Chunk of the compressed form at `offset`; empty if the sender has no bandwidth to spare.
+  7: required i32 offset
+  8: required binary chunk
+  // Addresses, as IP:PORT, of other instances that have this version.
+  9: required list<string> holders
 }
--- a/unittests/gateway/configuration_transfer_test.cpp
+++ b/unittests/gateway/configuration_transfer_test.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr duration applyWithin = seconds(5);
-constexpr double linkBytesPerSecond = 20e6 / 8;
+constexpr byte_rate linkRate = byte_rate::fromMegabits(20);
 constexpr int dataCentres = 6;
 constexpr int instancesPerDataCentre = 12;
 
@@ -48,8 +48,8 @@
             stores.push_back(std::make_unique<scripted_store>(loop));
             stores.back()->objects = store.objects;
             stores.back()->revision = store.revision;
-            all.push_back(
-                    std::make_unique<instance>(loop, *stores.back(), network, m, applyWithin));
+            all.push_back(std::make_unique<instance>(loop, *stores.back(), network, m, applyWithin,
+                                                     linkRate));
         }
         for (const auto &each : all) {
             each->exchange->setMembers(members);
@@ -74,7 +74,7 @@
 
     manual_loop loop;
     scripted_store store{loop};
-    link_network network{loop, linkBytesPerSecond};
+    link_network network{loop, linkRate};
     std::vector<std::unique_ptr<scripted_store>> stores;
     std::vector<std::unique_ptr<instance>> all;
 };
--- a/unittests/gateway/exchange_fixture.h
+++ b/unittests/gateway/exchange_fixture.h
@@ -113,7 +113,8 @@
 struct instance
 {
     instance(manual_loop &loop, scripted_store &store, instance_network &network,
-             const member &self, duration applyWithin = seconds(3))
+             const member &self, duration applyWithin = seconds(3),
+             byte_rate linkRate = byte_rate::fromMegabits(100))
         : log(loop, self.id.value(), [](std::string_view text) { return text.size(); })
         , directory(loop, store, log, self, 1,
                     [this](const member_map &members) {
@@ -124,7 +125,8 @@
                {"config", "main", "servers", &readNumber, &readName},
                {[](const route_table_ptr &) {}, [this](const backend_map &now) { servers = now; }})
         , exchange(std::make_unique<view_exchange>(
-                  loop, view, directory, network.clientOf(self.peers), log, 1, applyWithin,
+                  loop, view, directory, network.clientOf(self.peers), log,
+                  view_exchange_options{1, applyWithin, linkRate},
                   report_hooks{[this] { return std::exchange(reports, {}); },
                                [this](const server_hints &h) { hints = h; }}))
     {
--- a/unittests/gateway/link_network.h
+++ b/unittests/gateway/link_network.h
@@ -21,9 +21,9 @@
     /// Reports that \p bytes of a flow have passed the link.
     using passed_hook = std::function<void(std::size_t bytes)>;
 
-    shared_link(manual_loop &loop, double bytesPerSecond)
+    shared_link(manual_loop &loop, byte_rate rate)
         : m_loop(loop)
-        , m_bytesPerSecond(bytesPerSecond)
+        , m_rate(rate)
     {
     }
 
@@ -55,7 +55,8 @@
         queued_flow current = std::move(m_flows.front());
         m_flows.pop_front();
         const std::size_t segment = std::min(segmentBytes, current.remaining);
-        const auto takes = scaled(seconds(1), static_cast<double>(segment) / m_bytesPerSecond);
+        const auto takes =
+                scaled(seconds(1), static_cast<double>(segment) / m_rate.bytesPerSecond());
         m_timer = m_loop.schedule(takes, [this, segment, current = std::move(current)]() mutable {
             const auto onPassed = current.onPassed;
             const bool isAlive = !current.flow.expired();
@@ -69,7 +70,7 @@
     }
 
     manual_loop &m_loop;
-    double m_bytesPerSecond;
+    byte_rate m_rate;
     std::deque<queued_flow> m_flows;
     bool m_busy = false;
     timer m_timer;
@@ -80,9 +81,9 @@
 class link_network : public instance_network
 {
 public:
-    link_network(manual_loop &loop, double bytesPerSecond)
+    link_network(manual_loop &loop, byte_rate rate)
         : m_loop(loop)
-        , m_bytesPerSecond(bytesPerSecond)
+        , m_rate(rate)
     {
     }
 
@@ -135,7 +136,7 @@
     {
         auto &l = links[at];
         if (!l)
-            l = std::make_unique<shared_link>(m_loop, m_bytesPerSecond);
+            l = std::make_unique<shared_link>(m_loop, m_rate);
         return *l;
     }
 
@@ -178,7 +179,7 @@
     }
 
     manual_loop &m_loop;
-    double m_bytesPerSecond;
+    byte_rate m_rate;
     link_map m_uplinks;
     link_map m_downlinks;
     std::set<flow_ptr> m_flows;
--- a/unittests/support/support_test.cpp
+++ b/unittests/support/support_test.cpp
@@ -1,3 +1,4 @@
+#include "peridotwheel/support/compression.h"
 #include "peridotwheel/support/hash.h"
 #include "peridotwheel/support/libevent_loop.h"
 #include "peridotwheel/support/log.h"
@@ -74,3 +75,18 @@
     EXPECT_EQ(logValue("a\nb"), "\"a b\"");
     EXPECT_FALSE(configureLogging("loud").has_value());
 }
+
+// A size or content that another process states wrongly must not be taken for the text.
+TEST(compression, refusesDamagedDataAndWrongSizes)
+{
+    const std::string text(100000, 'x');
+    const auto compressed = compress(text);
+    ASSERT_TRUE(compressed);
+    EXPECT_LT(compressed.value().size(), text.size() / 10);
+    EXPECT_EQ(decompress(compressed.value(), text.size()).value(), text);
+    EXPECT_FALSE(decompress(compressed.value(), text.size() - 1));
+    EXPECT_FALSE(decompress(compressed.value(), text.size() + 1));
+    std::string damaged = compressed.value();
+    damaged.back() = static_cast<char>(~damaged.back());
+    EXPECT_FALSE(decompress(damaged, text.size()));
+}
