Limit view requests to instances that are ahead

Cause: an instance with an old view requests the view of each instance whose own request shows that it is ahead. After a stall it handles a backlog of such requests at once: 100 requests led to 100 of its own, each answered with the whole configuration and each of these parsed in full, which is the next stall. The class of fault is a feedback that keeps an overload going after its cause is gone.

--- a/lib/gateway/view_exchange.cpp
+++ b/lib/gateway/view_exchange.cpp
@@ -17,6 +17,8 @@
 /// Without a view no request can be served, so the first one is requested more often.
 constexpr duration initialRequestInterval = milliseconds(100);
 constexpr duration requestTimeout = milliseconds(600);
+/// Least time between two view requests to instances that showed to be ahead.
+constexpr duration requestBackInterval = milliseconds(200);
 /// Limit on view requests in flight while no configuration is known: one to a seed and one to
 /// another instance in each of two cycles.
 constexpr int maxRequestsWithoutView = 4;
@@ -209,6 +211,17 @@
                 });
 }
 
+void view_exchange::requestViewBack(const endpoint &requester)
+{
+    // After a stall, requests of many instances are handled at once, and each reply may contain all
+    // servers.
+    const time_point now = m_loop.now();
+    if (now < m_nextRequestBack)
+        return;
+    m_nextRequestBack = now + requestBackInterval;
+    requestView(requester, false);
+}
+
 void view_exchange::onReply(const endpoint &from, bool isLocalWatcher, duration waited,
                             const http_outcome &outcome)
 {
@@ -262,7 +275,7 @@
     // which still has a view. If the view here is not stale, changes arrive through the regular
     // exchange.
     if (requesterIsAhead && position.requesterAddress && viewAge() > m_staleAge) {
-        requestView(*position.requesterAddress, false);
+        requestViewBack(*position.requesterAddress);
         m_configurationFetcher.announce(position.configuration, *position.requesterAddress);
     }
     if (position.requesterAddress)
--- a/lib/gateway/view_exchange.h
+++ b/lib/gateway/view_exchange.h
@@ -73,6 +73,8 @@
     void requestFromLocalWatcher();
     void requestFromOtherPeers();
     void requestView(const endpoint &to, bool isLocalWatcher);
+    /// Requests the view of an instance whose own request showed that it is ahead.
+    void requestViewBack(const endpoint &requester);
     /// Sends \p target a view request only to learn whether it answers; ignores the content of the
     /// reply.
     void probe(const member &target, std::function<void(bool answered)> done);
@@ -105,6 +107,7 @@
     std::vector<endpoint> m_otherInstances;
     std::size_t m_nextLocalWatcher = 0;
     int m_requestsInFlight = 0;
+    time_point m_nextRequestBack{};
     time_point m_nextFullView{};
     bool m_localWatcherFails = false;
     member_sweeper m_sweeper;
