Let the timeout of a reply count from its last bytes

An instance that watches the store reported store_lost while the reply with a large configuration was still arriving: the timeout of a request covered its whole reply. A document of 1 MB takes 0.4 s on an idle link of 20 Mbit/s and a watch has 0.5 s of margin, so that beside other traffic the reply was discarded and requested again. This is the cause of the late configurations between instances, in the client of the store: a total timeout below the time of a large transfer.

--- a/include/peridotwheel/http/client_connection.h
+++ b/include/peridotwheel/http/client_connection.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace peridotwheel {
@@ -40,6 +41,8 @@
     virtual bool open() const = 0;
     /// Returns true if the request of the exchange in progress has been handed to the transport.
     virtual bool isRequestWritten() const = 0;
+    /// Returns when bytes of the reply to the exchange in progress last arrived, if any have.
+    virtual std::optional<time_point> lastReceivedAt() const = 0;
 };
 
 struct client_connection_hooks
--- a/include/peridotwheel/http/http_connection.h
+++ b/include/peridotwheel/http/http_connection.h
@@ -38,8 +38,9 @@
     /// Closes the connection. The hook of a request in flight is not called.
     virtual ~http_connection() = default;
 
-    /// Sends \p request and calls \p done once, never from within `send`. The hook may destroy the
-    /// connection. No other request may be in flight.
+    /// Sends \p request, and fails if nothing of the reply arrives for \p timeout; a reply that
+    /// only trickles fails after a small multiple of it. Calls \p done once, never from within
+    /// `send`. The hook may destroy the connection. No other request may be in flight.
     virtual void send(const http_request &request, duration timeout, outcome_hook done) = 0;
     virtual bool busy() const = 0;
     /// Returns false after a failure; the next request then opens a new connection.
--- a/lib/http/socket_connector.cpp
+++ b/lib/http/socket_connector.cpp
@@ -17,7 +17,8 @@
 public:
     socket_connection(libevent_loop &loop, const endpoint &to, std::size_t maxReplyBytes,
                       tcp_keepalive keepalive, client_connection_hooks hooks)
-        : m_hooks(std::move(hooks))
+        : m_loop(loop)
+        , m_hooks(std::move(hooks))
         , m_parser(message_parser::role::Reply)
         , m_stream(loop, to, keepalive,
                    {[this] { onConnected(); }, [this](std::string_view data) { onData(data); },
@@ -32,6 +33,7 @@
         m_request = std::move(request);
         m_done = std::move(done);
         m_parser.expectNoBody(m_request.isHead);
+        m_lastReceivedAt.reset();
         if (m_stream.isConnected())
             writeRequest();
     }
@@ -39,6 +41,7 @@
     bool busy() const override { return m_done != nullptr; }
     bool open() const override { return m_stream.isConnected() && !m_ended; }
     bool isRequestWritten() const override { return m_written; }
+    std::optional<time_point> lastReceivedAt() const override { return m_lastReceivedAt; }
 
 private:
     void onConnected()
@@ -60,6 +63,7 @@
     {
         if (m_ended)
             return;
+        m_lastReceivedAt = m_loop.now();
         while (!data.empty()) {
             // Bytes outside an exchange belong to no request, and later bytes could no longer be
             // matched to a request reliably.
@@ -139,10 +143,12 @@
             done(std::move(outcome));
     }
 
+    libevent_loop &m_loop;
     client_connection_hooks m_hooks;
     message_parser m_parser;
     exchange_request m_request;
     outcome_hook m_done;
+    std::optional<time_point> m_lastReceivedAt;
     bool m_written = false;
     bool m_ended = false;
     socket_stream m_stream;
--- a/lib/http/stream_connector.cpp
+++ b/lib/http/stream_connector.cpp
@@ -2,12 +2,16 @@
 
 #include "peridotwheel/support/earliest_timer.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace peridotwheel {
 
 namespace {
 
+/// A reply that keeps arriving may take up to this many timeouts.
+constexpr int maxTimeoutsPerReply = 4;
+
 const char *methodName(http_method method)
 {
     switch (method) {
@@ -43,6 +47,7 @@
 
 private:
     void onTimer();
+    time_point deadline() const;
     void finish(http_outcome outcome);
 
     event_loop &m_loop;
@@ -51,7 +56,8 @@
     std::string m_host;
     std::unique_ptr<client_connection> m_connection;
     outcome_hook m_done;
-    time_point m_deadline{};
+    time_point m_sentAt{};
+    duration m_timeout{};
     /// Stays armed between requests to avoid rearming it, since most requests end long before their
     /// deadline.
     earliest_timer m_timer;
@@ -65,18 +71,25 @@
     exchange_request text;
     text.text = requestText(methodName(request.method), request.path, m_host, request.headers,
                             request.body);
-    m_deadline = m_loop.now() + timeout;
-    m_timer.wakeAt(m_deadline);
+    m_sentAt = m_loop.now();
+    m_timeout = timeout;
+    m_timer.wakeAt(m_sentAt + m_timeout);
     m_connection->send(std::move(text),
                        [this](http_outcome outcome) { finish(std::move(outcome)); });
 }
 
+time_point stream_http_connection::deadline() const
+{
+    const time_point progressAt = m_connection->lastReceivedAt().value_or(m_sentAt);
+    return std::min(progressAt + m_timeout, m_sentAt + maxTimeoutsPerReply * m_timeout);
+}
+
 void stream_http_connection::onTimer()
 {
     if (!busy())
         return;
-    if (m_loop.now() < m_deadline) {
-        m_timer.wakeAt(m_deadline);
+    if (m_loop.now() < deadline()) {
+        m_timer.wakeAt(deadline());
         return;
     }
     http_outcome outcome;
--- a/unittests/gateway/fake_backends.cpp
+++ b/unittests/gateway/fake_backends.cpp
@@ -125,6 +125,7 @@
     bool busy() const override { return m_done != nullptr; }
     bool open() const override { return m_open; }
     bool isRequestWritten() const override { return busy(); }
+    std::optional<time_point> lastReceivedAt() const override { return std::nullopt; }
 
 private:
     void reset()
--- a/unittests/http/stream_test.cpp
+++ b/unittests/http/stream_test.cpp
@@ -1,4 +1,5 @@
 #include "peridotwheel/http/socket_connector.h"
+#include "peridotwheel/http/stream_connector.h"
 #include "peridotwheel/http/stream_server.h"
 #include "peridotwheel/support/libevent_loop.h"
 #include "peridotwheel/support/unique_fd.h"
@@ -114,6 +115,17 @@
         runFor(milliseconds(20));
     }
 
+    /// Sends a request through a `stream_connector` and accepts its connection as `peer`.
+    void sendWithTimeout(duration timeout)
+    {
+        http = connections.open(to);
+        http_request request;
+        request.path = "/x";
+        http->send(request, timeout, [this](http_outcome o) { outcome = std::move(o); });
+        runFor(milliseconds(20));
+        peer = unique_fd(accept(listener.get(), nullptr, nullptr));
+    }
+
     static std::string replyText(const std::string &id)
     {
         return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 2\r\n\r\nok";
@@ -121,11 +133,14 @@
 
     libevent_loop loop;
     socket_connector connector;
+    stream_connector connections{
+            loop, std::make_unique<socket_connector>(loop, maxReplyBytes, tcp_keepalive::Off)};
     unique_fd listener;
     unique_fd peer;
     endpoint to;
     std::unique_ptr<client_connection> connection;
     std::optional<http_outcome> outcome;
+    std::unique_ptr<http_connection> http;
     bool closedWhileIdle = false;
 };
 
@@ -286,3 +301,38 @@
     ASSERT_TRUE(outcome);
     EXPECT_EQ(outcome->failure, transport_failure::NotSent);
 }
+
+// The store's reply with a large configuration took longer than the timeout on a narrow link, and
+// the watch that was then repeated took as long again.
+TEST_F(client_connection_test, aReplyThatKeepsArrivingDoesNotTimeOut)
+{
+    sendWithTimeout(milliseconds(100));
+    answer("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
+    for (int i = 0; i < 5; ++i) {
+        ASSERT_FALSE(outcome);
+        runFor(milliseconds(20));
+        answer("x");
+    }
+    ASSERT_TRUE(outcome);
+    EXPECT_TRUE(outcome->ok());
+}
+
+// A peer that sends a byte now and then must not hold a request for ever.
+TEST_F(client_connection_test, aReplyThatOnlyTricklesTimesOut)
+{
+    sendWithTimeout(milliseconds(100));
+    answer("HTTP/1.1 200 OK\r\nContent-Length: 10000\r\n\r\n");
+    for (int i = 0; i < 100 && !outcome; ++i)
+        answer("x");
+    ASSERT_TRUE(outcome);
+    EXPECT_EQ(outcome->failure, transport_failure::MayHaveRun);
+}
+
+TEST_F(client_connection_test, aReplyThatStopsTimesOut)
+{
+    sendWithTimeout(milliseconds(100));
+    answer("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nx");
+    runFor(milliseconds(150));
+    ASSERT_TRUE(outcome);
+    EXPECT_EQ(outcome->failure, transport_failure::MayHaveRun);
+}
