--- a/unittests/gateway/fake_backends.cpp
+++ b/unittests/gateway/fake_backends.cpp
@@ -146,8 +146,10 @@
     {
         const bool isCheck = m_id == "health";
         const server_behaviour how = m_server.behaviour;
-        if (!isCheck)
+        if (!isCheck) {
             m_server.arrived.push_back(m_id);
+            m_server.arrivedAt.push_back(m_loop.now());
+        }
         const bool runs = how != server_behaviour::Reject && how != server_behaviour::WrongServer;
         if (runs && !isCheck)
             m_server.ran.push_back(m_id);
@@ -182,6 +184,8 @@
         case server_behaviour::Silent:
             break;
         }
+        outcome.reply.headers.insert(outcome.reply.headers.end(), m_server.notices.begin(),
+                                     m_server.notices.end());
         const auto done = std::exchange(m_done, nullptr);
         done(std::move(outcome));
     }
--- a/unittests/gateway/fake_backends.h
+++ b/unittests/gateway/fake_backends.h
@@ -61,9 +61,12 @@
         /// Time from the acceptance of such a connection to its reset.
         duration resetAfter = milliseconds(1);
         std::string records;
+        /// Headers added to each reply.
+        http_headers notices;
         /// Ids of the requests that arrived, and of those that ran.
         std::vector<std::string> arrived;
         std::vector<std::string> ran;
+        std::vector<time_point> arrivedAt;
         /// Exchanges that were ended by closing the connection.
         unsigned aborted = 0;
         unsigned openConnections = 0;
--- /dev/null
+++ b/unittests/gateway/server_notice_test.cpp
@@ -0,0 +1,180 @@
+#include "gateway_fixture.h"
+#include "lib/gateway/report_aggregator.h"
+#include "peridotwheel/support/random_source.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+using namespace peridotwheel;
+
+namespace {
+
+/// Several gateways in front of the same servers, under uneven load.
+class gateway_fleet_test : public gateway_fixture
+{
+protected:
+    struct instance
+    {
+        instance(gateway_fleet_test &fleet, const std::string &name, const char *dataCentreName)
+            : dataCentre(dataCentreName)
+            , gate(fleet.loop, fleet.backends, fleet.dialect, counters, fleet.log,
+                   optionsOf(name, dataCentreName))
+        {
+        }
+
+        static gateway_options optionsOf(const std::string &name, const char *dataCentre)
+        {
+            gateway_options o;
+            o.self = instance_id(name);
+            o.dataCentre = data_centre_id(dataCentre);
+            o.extraAttempts.constant = 100;
+            return o;
+        }
+
+        std::string dataCentre;
+        counter_set counters;
+        gateway gate;
+    };
+
+    void startFleet(int count)
+    {
+        const char *const dataCentres[] = {"near", "far", "farther"};
+        for (int i = 0; i < count; ++i) {
+            const std::string name = "gateway-" + std::to_string(i);
+            fleet.push_back(std::make_unique<instance>(*this, name, dataCentres[i % 3]));
+            member m;
+            m.id = instance_id(name);
+            m.dataCentre = data_centre_id(dataCentres[i % 3]);
+            members[m.id] = m;
+        }
+        for (const auto &each : fleet) {
+            each->gate.setInstances(members);
+            each->gate.setServers(servers);
+            each->gate.setRoutes(std::make_shared<route_table>(configuration(1)));
+        }
+        loop.advance(seconds(2));
+    }
+
+    /// Sends \p queriesPerSecond in all for \p d, half of them to a third of the gateways.
+    void run(duration d, double queriesPerSecond, const std::string &target = "/all/")
+    {
+        constexpr duration step = milliseconds(5);
+        for (duration elapsed{}; elapsed < d; elapsed += step) {
+            const double expected = queriesPerSecond * toMilliseconds(step) / 1000;
+            if (random.fraction() < expected) {
+                const std::size_t third = std::max<std::size_t>(fleet.size() / 3, 1);
+                const std::size_t among = random.fraction() < 0.5 ? third : fleet.size();
+                sendThrough(*fleet[random.below(among)], target);
+            }
+            exchangeReports();
+            loop.advance(step);
+        }
+    }
+
+    /// Shares measurements in a data centre twice a second, as `view_exchange` does.
+    void exchangeReports()
+    {
+        if (loop.now() < nextExchange)
+            return;
+        nextExchange = loop.now() + milliseconds(500);
+        for (const auto &each : fleet)
+            pools[each->dataCentre].add(each->gate.takeReports(), loop.now());
+        for (const auto &each : fleet)
+            each->gate.setHints(pools[each->dataCentre].hints(loop.now()));
+    }
+
+    void sendThrough(instance &from, const std::string &target)
+    {
+        auto client = std::make_shared<fake_client>();
+        opaque_request request;
+        request.method = "GET";
+        request.target = target;
+        request.headers = {{"Host", "host.example"}, {"Id", "q-" + std::to_string(sent++)}};
+        clients.push_back(client);
+        from.gate.handle(request, client);
+    }
+
+    /// Returns the most requests that reached a server within some 4 s from \p from on.
+    static std::size_t mostInWindow(const fake_backends::server &server, time_point from)
+    {
+        constexpr duration window = seconds(4);
+        const auto &at = server.arrivedAt;
+        auto first = std::lower_bound(at.begin(), at.end(), from);
+        std::size_t most = 0;
+        for (auto last = first; last != at.end(); ++last) {
+            while (*last - *first >= window)
+                ++first;
+            most = std::max(most, static_cast<std::size_t>(last - first) + 1);
+        }
+        return most;
+    }
+
+    /// Requests that a server with a limit takes within 4 s by the operators' rule.
+    static std::size_t allowedInWindow(double limit)
+    {
+        return static_cast<std::size_t>(1.5 * 4 * limit) + 5;
+    }
+
+    /// Returns the share of answered queries among those sent from \p first on.
+    double servedShare(std::size_t first) const
+    {
+        std::size_t served = 0;
+        for (std::size_t i = first; i < clients.size(); ++i)
+            served += !clients[i]->replies.empty() && clients[i]->replies[0].status == 200 ? 1 : 0;
+        return static_cast<double>(served) / static_cast<double>(clients.size() - first);
+    }
+
+    /// Returns the share of queries answered with all parts among those sent from \p first on.
+    double completeShare(std::size_t first) const
+    {
+        std::size_t complete = 0;
+        for (std::size_t i = first; i < clients.size(); ++i) {
+            const std::string *missing = clients[i]->replies.at(0).header("Missing");
+            complete += missing != nullptr && *missing == "0" ? 1 : 0;
+        }
+        return static_cast<double>(complete) / static_cast<double>(clients.size() - first);
+    }
+
+    member_map members;
+    std::vector<std::unique_ptr<instance>> fleet;
+    std::map<std::string, report_aggregator> pools;
+    std::vector<std::shared_ptr<fake_client>> clients;
+    random_source random{5};
+    time_point nextExchange{};
+    int sent = 0;
+};
+
+/// Time after which the operators count the requests to a server that named a limit.
+constexpr duration settledAfter = seconds(5);
+
+} // namespace
+
+// A server that named a limit got one and a half times as many requests as the tolerance allows.
+TEST_F(gateway_fleet_test, staysWithinTheLimitThatAServerNames)
+{
+    startFleet(9);
+    run(seconds(5), 120);
+    for (const std::size_t replica : {0U, 1U})
+        shardServer(0, replica).notices = {{"Limit", "20"}};
+    const time_point named = loop.now();
+    const std::size_t first = clients.size();
+    run(seconds(20), 120);
+    for (const std::size_t replica : {0U, 1U}) {
+        EXPECT_LE(mostInWindow(shardServer(0, replica), named + settledAfter), allowedInWindow(20));
+    }
+    EXPECT_GE(servedShare(first), 0.99);
+}
+
+// With more instances than requests a second, each instance alone would stay within its share.
+TEST_F(gateway_fleet_test, staysWithinALimitBelowTheNumberOfInstances)
+{
+    startFleet(71);
+    run(seconds(5), 120);
+    for (std::size_t replica = 0; replica < replicas; ++replica)
+        shardServer(0, replica).notices = {{"Limit", "8"}};
+    const time_point named = loop.now();
+    run(seconds(20), 120);
+    for (std::size_t replica = 0; replica < replicas; ++replica) {
+        EXPECT_LE(mostInWindow(shardServer(0, replica), named + settledAfter), allowedInWindow(8));
+    }
+}
