Keep to the limit that a server names

Cause: nothing read the header, and there was no notion of a limit that all instances share. The class of fault is a limit of a shared resource that no one divides; connections and extra attempts are divided, rates were not.

Each instance now paces its requests to a server by its share of the limit. Shares are dealt like connections, in units of one request a second, so that at most as many instances have a share as the server takes requests in a second, and nothing is saved up: requests that come to all of them at once exceed the limit by no more than one second's. Attempts wait for their turn in the order of ranks, and the wait counts in placement, so that servers without a limit are preferred. A part that may not be sent before the target is left out at once. Instances of a data centre share what they were told with their measurements; a limit that is not named again lapses after 3 to 6 s.

--- a/include/peridotwheel/gateway/backend_server.h
+++ b/include/peridotwheel/gateway/backend_server.h
@@ -4,6 +4,7 @@
 #include "peridotwheel/gateway/backend_record.h"
 #include "peridotwheel/gateway/placement.h"
 #include "peridotwheel/gateway/server_health.h"
+#include "peridotwheel/gateway/server_limit.h"
 #include "peridotwheel/gateway/wire_dialect.h"
 #include "peridotwheel/support/event_loop.h"
 
@@ -80,8 +81,13 @@
         event_loop &loop;
         client_connector &connector;
         const wire_dialect &dialect;
-        /// Called when this process starts or stops suspecting a server; \p what names the event.
-        std::function<void(const backend_server &, const char *what)> onSuspicionChanged;
+        /// Called when this process starts or stops suspecting a server, or when the server's limit
+        /// changes; \p what names the event.
+        std::function<void(const backend_server &, const char *what)> onStateChanged;
+        /// Returns the share of the server's limit that this instance may use, from 0 to 1.
+        std::function<double(const backend_record &, request_rate limit)> ownShareOfLimit;
+        /// Time after which a limit lapses that the server does not name again.
+        duration limitLifetime;
     };
 
     backend_server(environment env, backend_record record, std::string healthCheckPath,
@@ -92,6 +98,8 @@
 
     const backend_record &record() const { return m_record; }
     const server_health &health() const { return m_health; }
+    /// Returns the limit that the server has named, if any.
+    std::optional<request_rate> limit() const { return m_limit.limit(m_env.loop.now()); }
     /// Applies a newer record of the same run of the server.
     void update(const backend_record &record);
     /// Sets how many connections may be open at once, and how many of them may stay open without a
@@ -100,6 +108,7 @@
     {
         m_maxConnections = maxConnections;
         m_standingShare = standing;
+        updateLimitShare();
     }
     std::uint32_t standingShare() const { return m_standingShare; }
     /// Sets the number of standing connections, which are kept open without a request. One of them
@@ -123,8 +132,8 @@
     /// Opens missing connections, closes stale ones, ends attempts that are past their deadline,
     /// and sends health checks while the server is suspect. To be called a few times a second.
     void maintain();
-    server_samples takeSamples() { return m_health.takeSamples(); }
-    void setHint(const server_hint &hint) { m_health.setHint(hint, m_env.loop.now()); }
+    server_samples takeSamples();
+    void setHint(const server_hint &hint);
     void noteLocalStall(time_point now) { m_health.onLocalStall(now); }
     std::size_t connections() const { return m_slots.size(); }
     bool isConnected() const;
@@ -153,11 +162,17 @@
     void checkHealth(time_point now);
     void onHealthChecked(slot &s, const http_outcome &outcome);
     void reportSuspicionChange(bool wasSuspect);
+    void applyNotice(const http_reply &reply);
+    void onLimitChanged();
+    void updateLimitShare();
 
     environment m_env;
     backend_record m_record;
     std::string m_healthCheckPath;
     server_health m_health;
+    server_limit m_limit;
+    /// Runs while attempts wait for the server's limit.
+    timer m_limitTimer;
     std::vector<std::unique_ptr<slot>> m_slots;
     std::map<wait_key, backend_attempt_ptr> m_waiting;
     std::uint64_t m_nextNumber = 1;
--- a/include/peridotwheel/gateway/placement.h
+++ b/include/peridotwheel/gateway/placement.h
@@ -32,6 +32,8 @@
     std::uint32_t slots = 1;
     /// Attempts of this instance that wait for a connection to the server.
     std::size_t waitingAttempts = 0;
+    /// Time until the server's limit allows another request.
+    duration sendDelay{};
 };
 
 /// A server chosen from a list of candidates, with its estimate.
@@ -40,6 +42,8 @@
     std::size_t index = 0;
     /// Expected time until the reply, penalties included.
     duration expectedTime{};
+    /// The part of it until the server's limit allows the request.
+    duration sendDelay{};
     /// Whether the server is suspect, or has been silent for longer than its pauses last. An
     /// attempt there probably gets no answer.
     bool likelyUnresponsive = false;
--- a/include/peridotwheel/gateway/server_report.h
+++ b/include/peridotwheel/gateway/server_report.h
@@ -2,9 +2,11 @@
 #define PERIDOTWHEEL_GATEWAY_SERVER_REPORT_H
 
 #include "peridotwheel/support/ids.h"
+#include "peridotwheel/support/units.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 
 namespace peridotwheel {
 
@@ -18,8 +20,10 @@
     std::uint32_t failures = 0;
     /// Sum over the replies of the work as a multiple of the usual one.
     double slownessSum = 0;
+    /// The limit that the server named to this instance recently.
+    std::optional<request_rate> limit;
 
-    bool isEmpty() const { return replies + failures == 0; }
+    bool isEmpty() const { return replies + failures == 0 && !limit; }
 };
 
 using server_reports = std::map<server_id, server_samples>;
@@ -31,6 +35,8 @@
     double slowness = 1;
     /// Share of failed and rejected attempts.
     double errorRate = 0;
+    /// The limit that the server named to one of the instances.
+    std::optional<request_rate> limit;
 
     bool isUnusual() const { return slowness > 1 || errorRate > 0; }
 };
--- a/include/peridotwheel/gateway/wire_dialect.h
+++ b/include/peridotwheel/gateway/wire_dialect.h
@@ -40,6 +40,13 @@
     NotAnAnswer, ///< The reply is not valid, and the request may have run.
 };
 
+/// What a server states about itself in its replies.
+struct server_notice
+{
+    /// Requests that the server accepts from all instances together; absent if it is not limited.
+    std::optional<request_rate> limit;
+};
+
 /// Why the gateway replies itself instead of forwarding an answer.
 enum class refusal_kind {
     NotRun,           ///< The request did not run and will not; it may be sent again.
@@ -86,6 +93,7 @@
                                          const backend_record &server) const = 0;
     virtual bool isHealthy(const http_reply &reply, const backend_record &server) const = 0;
     virtual reply_verdict classify(const http_reply &reply) const = 0;
+    virtual server_notice readNotice(const http_reply &reply) const = 0;
     /// Returns how long the server keeps an idle connection; absent if the reply does not state it.
     virtual std::optional<duration> idleTimeout(const http_reply &reply) const = 0;
 
--- a/include/peridotwheel/support/units.h
+++ b/include/peridotwheel/support/units.h
@@ -62,6 +62,27 @@
     double m_bytesPerSecond;
 };
 
+/// A number of requests in each second.
+class request_rate
+{
+public:
+    constexpr explicit request_rate(double perSecond)
+        : m_perSecond(perSecond)
+    {
+    }
+
+    constexpr double perSecond() const { return m_perSecond; }
+
+    friend bool operator==(request_rate a, request_rate b)
+    {
+        return a.m_perSecond == b.m_perSecond;
+    }
+    friend bool operator!=(request_rate a, request_rate b) { return !(a == b); }
+
+private:
+    double m_perSecond;
+};
+
 } // namespace peridotwheel
 
 #endif
--- a/lib/gateway/backend_server.cpp
+++ b/lib/gateway/backend_server.cpp
@@ -53,6 +53,7 @@
     , m_record(std::move(record))
     , m_healthCheckPath(std::move(healthCheckPath))
     , m_health(assumedRoundTrip, m_env.loop.now())
+    , m_limit(m_env.limitLifetime)
     , m_coldUntil(m_env.loop.now() + m_record.coldRemaining)
 {
 }
@@ -96,6 +97,8 @@
             std::count_if(m_slots.begin(), m_slots.end(), [](const auto &s) { return s->isOpen; }));
     c.slots = m_record.slots;
     c.waitingAttempts = m_waiting.size();
+    c.sendDelay = m_limit.delay(m_waiting.size(), now);
+    c.isUsable = c.isUsable && c.sendDelay < duration::max();
     return c;
 }
 
@@ -142,7 +145,11 @@
     std::size_t opening = 0;
     for (const auto &s : m_slots)
         opening += s->isOpen ? 0 : 1;
-    while (m_slots.size() < m_maxConnections && opening < m_waiting.size()) {
+    // Attempts that wait for the server's limit need no connection each.
+    std::size_t needed = m_waiting.size();
+    if (m_limit.delay(0, m_env.loop.now()) > duration::zero())
+        needed = idleSlot(true) != nullptr ? 0 : std::min<std::size_t>(needed, 1);
+    while (m_slots.size() < m_maxConnections && opening < needed) {
         open();
         ++opening;
     }
@@ -184,12 +191,8 @@
 {
     auto a = std::make_shared<backend_attempt>(std::move(spec));
     a->number = m_nextNumber++;
-    if (slot *s = idleSlot(a->spec.needsProvenConnection)) {
-        send(*s, a);
-        return a;
-    }
     m_waiting.emplace(wait_key(a->spec.rank, a->spec.deadline, a->number), a);
-    openIfNeeded();
+    dispatch();
     return a;
 }
 
@@ -230,6 +233,7 @@
 
 void backend_server::dispatch()
 {
+    const time_point now = m_env.loop.now();
     auto it = m_waiting.begin();
     while (it != m_waiting.end()) {
         slot *s = idleSlot(it->second->spec.needsProvenConnection);
@@ -237,6 +241,12 @@
             ++it;
             continue;
         }
+        if (!m_limit.take(now)) {
+            const duration delay = m_limit.delay(0, now);
+            if (delay < duration::max())
+                m_limitTimer = m_env.loop.schedule(delay, [this] { dispatch(); });
+            break;
+        }
         const backend_attempt_ptr a = it->second;
         it = m_waiting.erase(it);
         send(*s, a);
@@ -267,6 +277,8 @@
         result.verdict = m_env.dialect.classify(outcome.reply);
         if (const auto idle = m_env.dialect.idleTimeout(outcome.reply))
             s.idleTimeout = *idle;
+        if (result.verdict != reply_verdict::WrongServer)
+            applyNotice(outcome.reply);
         result.reply = std::move(outcome.reply);
         s.hasReplied = true;
         m_connectBackoff = duration::zero();
@@ -413,6 +425,7 @@
     const time_point now = m_env.loop.now();
     const bool wasSuspect = m_health.isSuspect();
     if (outcome.ok() && m_env.dialect.isHealthy(outcome.reply, m_record)) {
+        applyNotice(outcome.reply);
         s.hasReplied = true;
         m_health.onHealthy(now);
     }
@@ -424,7 +437,41 @@
 void backend_server::reportSuspicionChange(bool wasSuspect)
 {
     if (wasSuspect != m_health.isSuspect())
-        m_env.onSuspicionChanged(*this, wasSuspect ? "server_answers_again" : "server_suspected");
+        m_env.onStateChanged(*this, wasSuspect ? "server_answers_again" : "server_suspected");
+}
+
+void backend_server::applyNotice(const http_reply &reply)
+{
+    const server_notice notice = m_env.dialect.readNotice(reply);
+    if (m_limit.onAnswer(notice.limit, m_env.loop.now()))
+        onLimitChanged();
+}
+
+void backend_server::onLimitChanged()
+{
+    updateLimitShare();
+    m_env.onStateChanged(*this, limit() ? "server_limited" : "server_limit_ended");
+}
+
+void backend_server::updateLimitShare()
+{
+    if (const auto named = limit())
+        m_limit.setOwnShare(m_env.ownShareOfLimit(m_record, *named), m_env.loop.now());
+}
+
+server_samples backend_server::takeSamples()
+{
+    server_samples samples = m_health.takeSamples();
+    samples.limit = m_limit.namedHere(m_env.loop.now());
+    return samples;
+}
+
+void backend_server::setHint(const server_hint &hint)
+{
+    const time_point now = m_env.loop.now();
+    m_health.setHint(hint, now);
+    if (m_limit.onHint(hint.limit, now))
+        onLimitChanged();
 }
 
 void backend_server::maintain()
--- a/lib/gateway/gateway_state.cpp
+++ b/lib/gateway/gateway_state.cpp
@@ -26,6 +26,14 @@
 constexpr double usableConnectionFraction = 0.9;
 /// Admission is logged as restricted when the share of admitted queries falls to this value.
 constexpr double restrictedAdmissionShare = 0.9;
+/// Least time after which a server's limit lapses that it does not name again. Instances with a
+/// share get an answer about once a second.
+constexpr duration minLimitLifetime = seconds(3);
+
+std::string limitText(std::optional<request_rate> limit)
+{
+    return limit ? std::to_string(limit->perSecond()) : "none";
+}
 
 } // namespace
 
@@ -105,14 +113,21 @@
 
 backend_server_ptr gateway_state::makeServer(const backend_record &record)
 {
-    backend_server::environment env{loop, connector, dialect,
+    backend_server::environment env{loop,
+                                    connector,
+                                    dialect,
                                     [this](const backend_server &server, const char *what) {
                                         const time_point now = loop.now();
                                         log.decision(what)
                                                 .add("server", server.record().id.value())
                                                 .add("service", server.record().service.value())
-                                                .addMs("silent_ms", server.health().silentFor(now));
-                                    }};
+                                                .addMs("silent_ms", server.health().silentFor(now))
+                                                .add("limit", limitText(server.limit()));
+                                    },
+                                    [this](const backend_record &of, request_rate limit) {
+                                        return ownShareOfLimit(of, limit);
+                                    },
+                                    scaled(minLimitLifetime, 1 + random.fraction())};
     auto server = std::make_shared<backend_server>(std::move(env), record,
                                                    healthCheckPathOf(record.service),
                                                    assumedRoundTrip(record.dataCentre));
@@ -202,6 +217,15 @@
                               share(record.id, standingConnections(usable), record.dataCentre));
 }
 
+double gateway_state::ownShareOfLimit(const backend_record &server, request_rate limit) const
+{
+    // At most one instance for each request a second gets a share, so that requests that come to
+    // all of them at once exceed the limit by no more than it allows in a second.
+    constexpr double maxUnits = 1'000'000;
+    const auto units = static_cast<std::uint32_t>(std::clamp(limit.perSecond(), 1.0, maxUnits));
+    return static_cast<double>(share(server.id, units, server.dataCentre)) / units;
+}
+
 void gateway_state::updateStanding(const service_group &group) const
 {
     const time_point now = loop.now();
--- a/lib/gateway/gateway_state.h
+++ b/lib/gateway/gateway_state.h
@@ -122,6 +122,9 @@
     duration assumedRoundTrip(const data_centre_id &to) const;
     std::string healthCheckPathOf(const service_name &service) const;
     void updateShare(backend_server &server) const;
+    /// Returns the share of a server's limit that this instance may use, from 0 to 1. The shares of
+    /// all instances add up to at most 1.
+    double ownShareOfLimit(const backend_record &server, request_rate limit) const;
     void updateStanding(const service_group &group) const;
     void logAdmissions();
     void logOpenAdmission(const service_name &shard, const char *reason);
--- a/lib/gateway/placement.cpp
+++ b/lib/gateway/placement.cpp
@@ -56,7 +56,8 @@
     const duration served =
             scaled(work, health.slowness(now) * (candidate.isCold ? coldWorkFactor : 1.0));
     placement p;
-    p.expectedTime = health.roundTrip() + served;
+    p.sendDelay = candidate.sendDelay;
+    p.expectedTime = candidate.sendDelay + health.roundTrip() + served;
     const std::uint32_t slots = std::max<std::uint32_t>(candidate.slots, 1);
     // The outstanding requests of this instance alone occupy all slots of the server.
     if (health.outstanding() >= slots)
--- a/lib/gateway/report_aggregator.cpp
+++ b/lib/gateway/report_aggregator.cpp
@@ -19,6 +19,8 @@
 constexpr double minSlowShare = 0.6;
 /// Minimum share of failures of a failing server; a few lost answers are normal.
 constexpr double minFailingShare = 0.15;
+/// A limit that no instance has reported for this time has ended; reports come twice a second.
+constexpr duration limitLifetime = milliseconds(1500);
 /// Bound of the entries, since the reports come from other processes.
 constexpr std::size_t maxServers = 16384;
 
@@ -33,7 +35,9 @@
         entry &e = it->second;
         for (double *sum : {&e.replies, &e.slowReplies, &e.failures, &e.slownessSum})
             *sum *= kept;
-        it = e.replies + e.failures < minWeight ? m_entries.erase(it) : std::next(it);
+        if (now - e.limitAt >= limitLifetime)
+            e.limit.reset();
+        it = e.replies + e.failures < minWeight && !e.limit ? m_entries.erase(it) : std::next(it);
     }
 }
 
@@ -48,6 +52,10 @@
         e.slowReplies += std::min(samples.slowReplies, samples.replies);
         e.failures += samples.failures;
         e.slownessSum += samples.slownessSum;
+        if (samples.limit) {
+            e.limit = samples.limit;
+            e.limitAt = now;
+        }
     }
 }
 
@@ -57,14 +65,14 @@
     server_hints out;
     for (const auto &[id, e] : m_entries) {
         const double all = e.replies + e.failures;
-        if (all < minSamples)
-            continue;
         server_hint hint;
-        if (e.slowReplies >= minSlowShare * e.replies && e.replies > 0)
+        hint.limit = e.limit;
+        const bool isMeasured = all >= minSamples;
+        if (isMeasured && e.slowReplies >= minSlowShare * e.replies && e.replies > 0)
             hint.slowness = e.slownessSum / e.replies;
-        if (e.failures >= minFailingShare * all)
+        if (isMeasured && e.failures >= minFailingShare * all)
             hint.errorRate = e.failures / all;
-        if (hint.isUnusual())
+        if (hint.isUnusual() || hint.limit)
             out[id] = hint;
     }
     return out;
--- a/lib/gateway/report_aggregator.h
+++ b/lib/gateway/report_aggregator.h
@@ -26,6 +26,8 @@
         double slowReplies = 0;
         double failures = 0;
         double slownessSum = 0;
+        std::optional<request_rate> limit;
+        time_point limitAt{};
     };
 
     void decay(time_point now);
--- a/lib/gateway/running_request.cpp
+++ b/lib/gateway/running_request.cpp
@@ -151,10 +151,15 @@
         p.likelyUnresponsive = best && best->likelyUnresponsive;
         const bool tooLong = best && !best->likelyUnresponsive &&
                              now + best->expectedTime > m_times.deadline && !isGather();
-        if (tooLong)
+        // A part that may not be sent in time would delay the answer to the target for nothing.
+        const bool isLimited = best && isGather() && now + best->sendDelay >= m_times.targetEnd;
+        if (tooLong || isLimited)
             p.isGivenUp = true;
         if (p.isGivenUp || p.likelyUnresponsive) {
-            const char *event = !best ? "no_server" : tooLong ? "wait_too_long" : "servers_silent";
+            const char *event = !best       ? "no_server"
+                                : tooLong   ? "wait_too_long"
+                                : isLimited ? "servers_limited"
+                                            : "servers_silent";
             m_trace.add(now, event, p.group->name.value(), "",
                         static_cast<double>(p.group->servers.size()));
         }
--- a/lib/gateway/view_codec.cpp
+++ b/lib/gateway/view_codec.cpp
@@ -5,6 +5,7 @@
 #include "thrift_text.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace peridotwheel {
@@ -39,6 +40,14 @@
             std::min<std::uint32_t>(value, std::numeric_limits<std::int32_t>::max()));
 }
 
+/// Returns nothing for a value that is no rate.
+std::optional<request_rate> toRate(double perSecond)
+{
+    if (!std::isfinite(perSecond) || perSecond < 0)
+        return std::nullopt;
+    return request_rate(perSecond);
+}
+
 std::vector<wire::ServerReport> toWire(const server_reports &reports)
 {
     std::vector<wire::ServerReport> out;
@@ -50,6 +59,8 @@
         report.slowReplies = toCount(samples.slowReplies);
         report.failures = toCount(samples.failures);
         report.slownessSumPermille = toPermille(samples.slownessSum);
+        if (samples.limit)
+            report.__set_limitPerSecond(samples.limit->perSecond());
     }
     return out;
 }
@@ -66,6 +77,8 @@
         samples.slowReplies = count(report.slowReplies);
         samples.failures = count(report.failures);
         samples.slownessSum = count(report.slownessSumPermille) / permille;
+        if (report.__isset.limitPerSecond)
+            samples.limit = toRate(report.limitPerSecond);
     }
     return out;
 }
@@ -79,6 +92,8 @@
         wired.server = id.value();
         wired.slownessPermille = toPermille(hint.slowness);
         wired.errorPermille = toPermille(hint.errorRate);
+        if (hint.limit)
+            wired.__set_limitPerSecond(hint.limit->perSecond());
     }
     return out;
 }
@@ -90,6 +105,8 @@
         server_hint &hint = out[server_id(wired.server)];
         hint.slowness = std::max(wired.slownessPermille / permille, 1.0);
         hint.errorRate = std::clamp(wired.errorPermille / permille, 0.0, 1.0);
+        if (wired.__isset.limitPerSecond)
+            hint.limit = toRate(wired.limitPerSecond);
     }
     return out;
 }
--- a/lib/peer/gen/peer_types.cpp
+++ b/lib/peer/gen/peer_types.cpp
@@ -2225,6 +2225,11 @@
 void ServerReport::__set_slownessSumPermille(const int32_t val) {
   this->slownessSumPermille = val;
 }
+
+void ServerReport::__set_limitPerSecond(const double val) {
+  this->limitPerSecond = val;
+__isset.limitPerSecond = true;
+}
 std::ostream& operator<<(std::ostream& out, const ServerReport& obj)
 {
   obj.printTo(out);
@@ -2298,6 +2303,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->limitPerSecond);
+          this->__isset.limitPerSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2345,6 +2358,11 @@
   xfer += oprot->writeI32(this->slownessSumPermille);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.limitPerSecond) {
+    xfer += oprot->writeFieldBegin("limitPerSecond", ::apache::thrift::protocol::T_DOUBLE, 6);
+    xfer += oprot->writeDouble(this->limitPerSecond);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2357,6 +2375,8 @@
   swap(a.slowReplies, b.slowReplies);
   swap(a.failures, b.failures);
   swap(a.slownessSumPermille, b.slownessSumPermille);
+  swap(a.limitPerSecond, b.limitPerSecond);
+  swap(a.__isset, b.__isset);
 }
 
 ServerReport::ServerReport(const ServerReport& other68) {
@@ -2365,6 +2385,8 @@
   slowReplies = other68.slowReplies;
   failures = other68.failures;
   slownessSumPermille = other68.slownessSumPermille;
+  limitPerSecond = other68.limitPerSecond;
+  __isset = other68.__isset;
 }
 ServerReport& ServerReport::operator=(const ServerReport& other69) {
   server = other69.server;
@@ -2372,6 +2394,8 @@
   slowReplies = other69.slowReplies;
   failures = other69.failures;
   slownessSumPermille = other69.slownessSumPermille;
+  limitPerSecond = other69.limitPerSecond;
+  __isset = other69.__isset;
   return *this;
 }
 void ServerReport::printTo(std::ostream& out) const {
@@ -2382,6 +2406,7 @@
   out << ", " << "slowReplies=" << to_string(slowReplies);
   out << ", " << "failures=" << to_string(failures);
   out << ", " << "slownessSumPermille=" << to_string(slownessSumPermille);
+  out << ", " << "limitPerSecond="; (__isset.limitPerSecond ? (out << to_string(limitPerSecond)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2401,6 +2426,11 @@
 void ServerHint::__set_errorPermille(const int32_t val) {
   this->errorPermille = val;
 }
+
+void ServerHint::__set_limitPerSecond(const double val) {
+  this->limitPerSecond = val;
+__isset.limitPerSecond = true;
+}
 std::ostream& operator<<(std::ostream& out, const ServerHint& obj)
 {
   obj.printTo(out);
@@ -2456,6 +2486,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->limitPerSecond);
+          this->__isset.limitPerSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2491,6 +2529,11 @@
   xfer += oprot->writeI32(this->errorPermille);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.limitPerSecond) {
+    xfer += oprot->writeFieldBegin("limitPerSecond", ::apache::thrift::protocol::T_DOUBLE, 4);
+    xfer += oprot->writeDouble(this->limitPerSecond);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2501,17 +2544,23 @@
   swap(a.server, b.server);
   swap(a.slownessPermille, b.slownessPermille);
   swap(a.errorPermille, b.errorPermille);
+  swap(a.limitPerSecond, b.limitPerSecond);
+  swap(a.__isset, b.__isset);
 }
 
 ServerHint::ServerHint(const ServerHint& other70) {
   server = other70.server;
   slownessPermille = other70.slownessPermille;
   errorPermille = other70.errorPermille;
+  limitPerSecond = other70.limitPerSecond;
+  __isset = other70.__isset;
 }
 ServerHint& ServerHint::operator=(const ServerHint& other71) {
   server = other71.server;
   slownessPermille = other71.slownessPermille;
   errorPermille = other71.errorPermille;
+  limitPerSecond = other71.limitPerSecond;
+  __isset = other71.__isset;
   return *this;
 }
 void ServerHint::printTo(std::ostream& out) const {
@@ -2520,6 +2569,7 @@
   out << "server=" << to_string(server);
   out << ", " << "slownessPermille=" << to_string(slownessPermille);
   out << ", " << "errorPermille=" << to_string(errorPermille);
+  out << ", " << "limitPerSecond="; (__isset.limitPerSecond ? (out << to_string(limitPerSecond)) : (out << "<null>"));
   out << ")";
 }
 
--- a/lib/peer/gen/peer_types.h
+++ b/lib/peer/gen/peer_types.h
@@ -744,6 +744,10 @@
 
 std::ostream& operator<<(std::ostream& out, const ViewRequest& obj);
 
+typedef struct _ServerReport__isset {
+  _ServerReport__isset() : limitPerSecond(false) {}
+  bool limitPerSecond :1;
+} _ServerReport__isset;
 
 class ServerReport : public virtual ::apache::thrift::TBase {
  public:
@@ -755,7 +759,8 @@
                  replies(0),
                  slowReplies(0),
                  failures(0),
-                 slownessSumPermille(0) {
+                 slownessSumPermille(0),
+                 limitPerSecond(0) {
   }
 
   virtual ~ServerReport() noexcept;
@@ -764,6 +769,9 @@
   int32_t slowReplies;
   int32_t failures;
   int32_t slownessSumPermille;
+  double limitPerSecond;
+
+  _ServerReport__isset __isset;
 
   void __set_server(const std::string& val);
 
@@ -775,6 +783,8 @@
 
   void __set_slownessSumPermille(const int32_t val);
 
+  void __set_limitPerSecond(const double val);
+
   bool operator == (const ServerReport & rhs) const
   {
     if (!(server == rhs.server))
@@ -787,6 +797,10 @@
       return false;
     if (!(slownessSumPermille == rhs.slownessSumPermille))
       return false;
+    if (__isset.limitPerSecond != rhs.__isset.limitPerSecond)
+      return false;
+    else if (__isset.limitPerSecond && !(limitPerSecond == rhs.limitPerSecond))
+      return false;
     return true;
   }
   bool operator != (const ServerReport &rhs) const {
@@ -805,6 +819,10 @@
 
 std::ostream& operator<<(std::ostream& out, const ServerReport& obj);
 
+typedef struct _ServerHint__isset {
+  _ServerHint__isset() : limitPerSecond(false) {}
+  bool limitPerSecond :1;
+} _ServerHint__isset;
 
 class ServerHint : public virtual ::apache::thrift::TBase {
  public:
@@ -814,13 +832,17 @@
   ServerHint() noexcept
              : server(),
                slownessPermille(0),
-               errorPermille(0) {
+               errorPermille(0),
+               limitPerSecond(0) {
   }
 
   virtual ~ServerHint() noexcept;
   std::string server;
   int32_t slownessPermille;
   int32_t errorPermille;
+  double limitPerSecond;
+
+  _ServerHint__isset __isset;
 
   void __set_server(const std::string& val);
 
@@ -828,6 +850,8 @@
 
   void __set_errorPermille(const int32_t val);
 
+  void __set_limitPerSecond(const double val);
+
   bool operator == (const ServerHint & rhs) const
   {
     if (!(server == rhs.server))
@@ -836,6 +860,10 @@
       return false;
     if (!(errorPermille == rhs.errorPermille))
       return false;
+    if (__isset.limitPerSecond != rhs.__isset.limitPerSecond)
+      return false;
+    else if (__isset.limitPerSecond && !(limitPerSecond == rhs.limitPerSecond))
+      return false;
     return true;
   }
   bool operator != (const ServerHint &rhs) const {
--- a/proto/peer.thrift
+++ b/proto/peer.thrift
@@ -112,6 +112,8 @@
   4: required i32 failures
   // Sum over the replies of the ratio of the service time to the typical one, in thousandths.
   5: required i32 slownessSumPermille
+  // Requests a second that the server accepts from all instances together, if it named a limit.
+  6: optional double limitPerSecond
 }
 
 // Unusual slowness and error rate of a server, aggregated from the reports of several instances, in
@@ -120,6 +122,7 @@
   1: required string server
   2: required i32 slownessPermille
   3: required i32 errorPermille
+  4: optional double limitPerSecond
 }
 
 // An object of the platform's store, as read by an instance.
--- a/unittests/gateway/fake_backends.cpp
+++ b/unittests/gateway/fake_backends.cpp
@@ -57,6 +57,14 @@
     return reply_verdict::WrongServer;
 }
 
+server_notice fake_dialect::readNotice(const http_reply &reply) const
+{
+    server_notice notice;
+    if (const std::string *limit = reply.header("Limit"))
+        notice.limit = request_rate(std::stod(*limit));
+    return notice;
+}
+
 answer_part fake_dialect::readPart(http_reply reply) const
 {
     return {*reply.header("S"), std::move(reply.body)};
--- a/unittests/gateway/fake_backends.h
+++ b/unittests/gateway/fake_backends.h
@@ -16,7 +16,7 @@
 namespace peridotwheel {
 
 /// A dialect of single words: a request is "ID LEFT-MS SERVER"; a reply carries its verdict in the
-/// header "V" and its seal in the header "S".
+/// header "V", its seal in the header "S" and the server's limit in the header "Limit".
 class fake_dialect : public wire_dialect
 {
 public:
@@ -27,6 +27,7 @@
     exchange_request healthCheck(const std::string &, const backend_record &) const override;
     bool isHealthy(const http_reply &reply, const backend_record &) const override;
     reply_verdict classify(const http_reply &reply) const override;
+    server_notice readNotice(const http_reply &reply) const override;
     std::optional<duration> idleTimeout(const http_reply &) const override { return std::nullopt; }
     http_reply toCallerReply(http_reply reply) const override { return reply; }
     answer_part readPart(http_reply reply) const override;
--- a/unittests/gateway/report_aggregator_test.cpp
+++ b/unittests/gateway/report_aggregator_test.cpp
@@ -157,3 +157,16 @@
     EXPECT_DOUBLE_EQ(hints.at(server_id("failing")).errorRate, 0.4);
     EXPECT_TRUE(pool.hints(now + seconds(20)).empty());
 }
+
+// An instance without a share of a limit knows it only from hints, also when the server is fast.
+TEST(report_aggregator, passesOnALimitAsLongAsItIsReported)
+{
+    report_aggregator pool;
+    time_point now{seconds(1000)};
+    server_samples limited;
+    limited.replies = 1;
+    limited.limit = request_rate(20);
+    pool.add({{server_id("a"), limited}}, now);
+    EXPECT_EQ(pool.hints(now + seconds(1)).at(server_id("a")).limit, request_rate(20));
+    EXPECT_TRUE(pool.hints(now + seconds(2)).empty());
+}
--- a/unittests/gateway/server_notice_test.cpp
+++ b/unittests/gateway/server_notice_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway_fixture.h"
 #include "lib/gateway/report_aggregator.h"
+#include "peridotwheel/gateway/server_limit.h"
 #include "peridotwheel/support/random_source.h"
 
 #include <algorithm>
@@ -178,3 +179,122 @@
         EXPECT_LE(mostInWindow(shardServer(0, replica), named + settledAfter), allowedInWindow(8));
     }
 }
+
+// While all servers of a shard are limited, its part must not delay each query to its target.
+TEST_F(gateway_fleet_test, answersWithoutAPartThatMayNotBeSentInTime)
+{
+    startFleet(9);
+    run(seconds(5), 120);
+    for (std::size_t replica = 0; replica < replicas; ++replica)
+        shardServer(0, replica).notices = {{"Limit", "5"}};
+    run(seconds(5), 120);
+    const std::size_t first = clients.size();
+    run(seconds(5), 120);
+    loop.advance(milliseconds(60));
+    EXPECT_GE(servedShare(first), 0.99);
+}
+
+// Instances without a share of a limit get no answers that tell them of its end.
+TEST_F(gateway_fleet_test, usesAServerAgainAfterItsLimitHasEnded)
+{
+    startFleet(24);
+    run(seconds(5), 120);
+    const std::size_t beforeLimit = clients.size();
+    run(seconds(5), 120);
+    loop.advance(seconds(1));
+    const double before = completeShare(beforeLimit);
+    for (std::size_t replica = 0; replica < replicas; ++replica)
+        shardServer(0, replica).notices = {{"Limit", "5"}};
+    run(seconds(20), 120);
+    for (std::size_t replica = 0; replica < replicas; ++replica)
+        shardServer(0, replica).notices.clear();
+    run(seconds(15), 120);
+    const std::size_t first = clients.size();
+    run(seconds(5), 120);
+    loop.advance(seconds(1));
+    EXPECT_GE(completeShare(first), before - 0.01) << "before: " << before;
+}
+
+namespace {
+
+const time_point start(seconds(1000));
+constexpr duration lifetime = seconds(4);
+
+/// Counts what \p limit lets through when asked each millisecond for \p d.
+int taken(server_limit &limit, time_point from, duration d)
+{
+    int count = 0;
+    for (time_point now = from; now < from + d; now += milliseconds(1)) {
+        limit.onAnswer(request_rate(10), now);
+        count += limit.take(now) ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace
+
+TEST(server_limit, letsThroughItsOwnShare)
+{
+    server_limit limit(lifetime);
+    limit.onAnswer(request_rate(10), start);
+    limit.setOwnShare(0.5, start);
+    EXPECT_EQ(taken(limit, start, seconds(10)), 49);
+}
+
+// Shares that were saved up while there was no load came together when a flood began.
+TEST(server_limit, savesUpNoMoreThanOneRequest)
+{
+    server_limit limit(lifetime);
+    limit.onAnswer(request_rate(10), start);
+    limit.setOwnShare(1, start);
+    const time_point later = start + seconds(3);
+    EXPECT_TRUE(limit.take(later));
+    EXPECT_FALSE(limit.take(later));
+}
+
+TEST(server_limit, endsWithAnAnswerThatNamesNone)
+{
+    server_limit limit(lifetime);
+    EXPECT_TRUE(limit.onAnswer(request_rate(10), start));
+    EXPECT_FALSE(limit.onAnswer(request_rate(10), start));
+    EXPECT_FALSE(limit.take(start));
+    EXPECT_TRUE(limit.onAnswer(std::nullopt, start));
+    EXPECT_TRUE(limit.take(start));
+}
+
+// A hint that was under way while the server lifted its limit brought the limit back.
+TEST(server_limit, ignoresHintsOlderThanItsOwnAnswer)
+{
+    server_limit limit(lifetime);
+    limit.onAnswer(request_rate(10), start);
+    limit.onAnswer(std::nullopt, start + seconds(1));
+    EXPECT_FALSE(limit.onHint(request_rate(10), start + milliseconds(1400)));
+    EXPECT_TRUE(limit.take(start + milliseconds(1400)));
+    EXPECT_TRUE(limit.onHint(request_rate(10), start + seconds(4)));
+}
+
+TEST(server_limit, isUnusableWithoutAShareUntilItLapses)
+{
+    server_limit limit(lifetime);
+    limit.onHint(request_rate(3), start);
+    limit.setOwnShare(0, start);
+    EXPECT_EQ(limit.delay(0, start + seconds(1)), duration::max());
+    EXPECT_FALSE(limit.take(start + seconds(3)));
+    EXPECT_EQ(limit.delay(0, start + lifetime), duration::zero());
+    EXPECT_TRUE(limit.take(start + lifetime));
+    EXPECT_FALSE(limit.namedHere(start));
+}
+
+// A timer that fired a little early found no permission, and the attempt waited for ever.
+TEST(server_limit, allowsARequestAfterItsDelay)
+{
+    server_limit limit(lifetime);
+    limit.onAnswer(request_rate(7), start);
+    limit.setOwnShare(1.0 / 3, start);
+    time_point now = start;
+    for (int i = 0; i < 1000; ++i) {
+        now += limit.delay(0, now);
+        limit.onAnswer(request_rate(7), now);
+        EXPECT_TRUE(limit.take(now));
+    }
+}
--- a/unittests/gateway/view_sharing_test.cpp
+++ b/unittests/gateway/view_sharing_test.cpp
@@ -130,6 +130,7 @@
     samples.slowReplies = 3;
     samples.failures = 2;
     samples.slownessSum = 31.5;
+    samples.limit = request_rate(12.5);
     position.reports = server_reports{{server_id("a"), samples}};
     const auto request = decodePosition(encodePosition(position));
     ASSERT_TRUE(request && request.value().reports);
@@ -138,12 +139,16 @@
     EXPECT_EQ(read.slowReplies, 3U);
     EXPECT_EQ(read.failures, 2U);
     EXPECT_DOUBLE_EQ(read.slownessSum, 31.5);
+    EXPECT_EQ(read.limit, request_rate(12.5));
     view_snapshot view;
-    view.hints[server_id("a")] = {4.5, 0.25};
+    view.hints[server_id("a")] = {4.5, 0.25, request_rate(7)};
+    view.hints[server_id("b")] = {4.5, 0.25, std::nullopt};
     const auto reply = decodeSnapshot(encodeSnapshot(view), {"c", "s", "i"});
     ASSERT_TRUE(reply);
     EXPECT_DOUBLE_EQ(reply.value().hints.at(server_id("a")).slowness, 4.5);
     EXPECT_DOUBLE_EQ(reply.value().hints.at(server_id("a")).errorRate, 0.25);
+    EXPECT_EQ(reply.value().hints.at(server_id("a")).limit, request_rate(7));
+    EXPECT_FALSE(reply.value().hints.at(server_id("b")).limit);
 }
 
 // Arbitrary bytes at the peers' address must not end the process.
