Send nothing more to a server that says that it leaves

A server that leaves says so in its replies, at times before its entry in the store changes. Requests went on to it until the store told, and those that waited for one of its connections even after that.

The notice now ends placement at the server in this instance until the server's next start, and attempts that wait for it go to other servers.

--- a/include/peridotwheel/gateway/backend_server.h
+++ b/include/peridotwheel/gateway/backend_server.h
@@ -81,8 +81,8 @@
         event_loop &loop;
         client_connector &connector;
         const wire_dialect &dialect;
-        /// Called when this process starts or stops suspecting a server, or when the server's limit
-        /// changes; \p what names the event.
+        /// Called when this process starts or stops suspecting a server, or when the server states a
+        /// change of its limit or that it leaves; \p what names the event.
         std::function<void(const backend_server &, const char *what)> onStateChanged;
         /// Returns the share of the server's limit that this instance may use, from 0 to 1.
         std::function<double(const backend_record &, request_rate limit)> ownShareOfLimit;
--- a/include/peridotwheel/gateway/wire_dialect.h
+++ b/include/peridotwheel/gateway/wire_dialect.h
@@ -45,6 +45,8 @@
 {
     /// Requests that the server accepts from all instances together; absent if it is not limited.
     std::optional<request_rate> limit;
+    /// Whether the server will shut down and wants no new requests.
+    bool isLeaving = false;
 };
 
 /// Why the gateway replies itself instead of forwarding an answer.
--- a/lib/gateway/backend_server.cpp
+++ b/lib/gateway/backend_server.cpp
@@ -294,6 +294,8 @@
     s.attempt = nullptr;
     release(s);
     complete(a, std::move(result));
+    if (isDraining())
+        failWaiting();
     dispatch();
 }
 
@@ -431,6 +433,8 @@
     }
     reportSuspicionChange(wasSuspect);
     release(s);
+    if (isDraining())
+        failWaiting();
     dispatch();
 }
 
@@ -445,6 +449,11 @@
     const server_notice notice = m_env.dialect.readNotice(reply);
     if (m_limit.onAnswer(notice.limit, m_env.loop.now()))
         onLimitChanged();
+    if (notice.isLeaving && !isDraining()) {
+        // Holds until the server's next start, since the entry in the store may lag behind.
+        m_isDraining = true;
+        m_env.onStateChanged(*this, "server_leaving");
+    }
 }
 
 void backend_server::onLimitChanged()
--- a/unittests/gateway/fake_backends.cpp
+++ b/unittests/gateway/fake_backends.cpp
@@ -62,6 +62,7 @@
     server_notice notice;
     if (const std::string *limit = reply.header("Limit"))
         notice.limit = request_rate(std::stod(*limit));
+    notice.isLeaving = reply.header("Leaving") != nullptr;
     return notice;
 }
 
--- a/unittests/gateway/fake_backends.h
+++ b/unittests/gateway/fake_backends.h
@@ -16,7 +16,7 @@
 namespace peridotwheel {
 
 /// A dialect of single words: a request is "ID LEFT-MS SERVER"; a reply carries its verdict in the
-/// header "V", its seal in the header "S" and the server's limit in the header "Limit".
+/// header "V" and its seal in the header "S", and may have the notices "Limit" and "Leaving".
 class fake_dialect : public wire_dialect
 {
 public:
--- a/unittests/gateway/server_notice_test.cpp
+++ b/unittests/gateway/server_notice_test.cpp
@@ -217,6 +217,75 @@
 
 namespace {
 
+/// One gateway whose nearest servers state something about themselves.
+class server_notice_test : public gateway_fixture
+{
+protected:
+    /// Sends \p count requests 20 ms apart; returns how many of them were answered.
+    int answered(const std::string &target, int count)
+    {
+        std::vector<std::shared_ptr<fake_client>> clients;
+        for (int i = 0; i < count; ++i) {
+            clients.push_back(send(target, "q-" + std::to_string(sent++)));
+            loop.advance(milliseconds(20));
+        }
+        loop.advance(seconds(1));
+        return static_cast<int>(std::count_if(clients.begin(), clients.end(), [](const auto &c) {
+            return !c->replies.empty() && c->replies[0].status == 200;
+        }));
+    }
+
+    int sent = 0;
+};
+
+} // namespace
+
+// A leaving server got requests until its entry in the store changed, which can be too late.
+TEST_F(server_notice_test, sendsNothingMoreToAServerThatSaysThatItLeaves)
+{
+    warmUp();
+    plainServer(0).notices = {{"Leaving", "1"}};
+    EXPECT_EQ(answered("/one/", 1), 1);
+    plainServer(0).notices.clear();
+    const std::size_t before = plainServer(0).arrived.size();
+    EXPECT_EQ(answered("/one/", 50), 50);
+    loop.advance(seconds(120));
+    EXPECT_EQ(answered("/one/", 50), 50);
+    EXPECT_EQ(plainServer(0).arrived.size(), before);
+}
+
+// Requests that waited for a connection to the leaving server were still sent.
+TEST_F(server_notice_test, sendsWaitingRequestsOfALeavingServerElsewhere)
+{
+    warmUp();
+    plainServer(0).work = milliseconds(40);
+    for (std::size_t replica = 1; replica < replicas; ++replica)
+        plainServer(replica).distance = milliseconds(400);
+    plainServer(0).notices = {{"Leaving", "1"}};
+    for (int i = 0; i < 40; ++i)
+        send("/one/", "burst-" + std::to_string(i));
+    loop.advance(milliseconds(60));
+    const std::size_t before = plainServer(0).arrived.size();
+    loop.advance(seconds(2));
+    EXPECT_EQ(plainServer(0).arrived.size(), before);
+}
+
+TEST_F(server_notice_test, usesAServerThatLeftAgainAfterItsRestart)
+{
+    warmUp();
+    plainServer(0).notices = {{"Leaving", "1"}};
+    EXPECT_EQ(answered("/one/", 1), 1);
+    plainServer(0).notices.clear();
+    servers.at(server_id("server-" + std::to_string(plainPort(0)))).start = start_id(7);
+    gate.setServers(servers);
+    loop.advance(seconds(1));
+    const std::size_t before = plainServer(0).arrived.size();
+    EXPECT_EQ(answered("/one/", 50), 50);
+    EXPECT_GT(plainServer(0).arrived.size(), before);
+}
+
+namespace {
+
 const time_point start(seconds(1000));
 constexpr duration lifetime = seconds(4);
 
