Leave a server alone for the time that it asks for

A server that rejects a request may ask for a pause by Retry-After. It got the next requests all the same: rejections lowered its rank in placement, but did not end placement, and callers whose requests no server would take waited until their time was used up.

A server that asked for a pause is not placed until its end, its waiting attempts go elsewhere, and no connection is opened and no health check sent to it. While all servers of a service pause, requests are refused at once; Retry-After then covers the time until so many parts can be served as an answer needs.

Two of the new tests failed before (all of 300 requests reached the pausing server; a request got no reply) and pass now.

--- a/include/peridotwheel/gateway/backend_server.h
+++ b/include/peridotwheel/gateway/backend_server.h
@@ -81,8 +81,9 @@
         event_loop &loop;
         client_connector &connector;
         const wire_dialect &dialect;
-        /// Called when this process starts or stops suspecting a server, or when the server states a
-        /// change of its limit or that it leaves; \p what names the event.
+        /// Called when this process starts or stops suspecting a server, or when the server states
+        /// a change of its limit, or that it leaves or wants no requests for a while; \p what names
+        /// the event.
         std::function<void(const backend_server &, const char *what)> onStateChanged;
         /// Returns the share of the server's limit that this instance may use, from 0 to 1.
         std::function<double(const backend_record &, request_rate limit)> ownShareOfLimit;
@@ -120,6 +121,9 @@
     bool isDraining() const { return m_isDraining || m_record.draining; }
 
     placement_candidate candidate() const;
+    /// Returns the time until this instance may send a request, which is zero unless the server
+    /// limits requests or wants none for a while.
+    duration availableIn() const;
     backend_attempt_ptr submit(attempt_spec spec);
     /// Cancels an attempt that still waits for a connection. Returns false if it does not wait.
     bool cancelUnsent(const backend_attempt_ptr &a);
@@ -155,6 +159,9 @@
     void recordHealth(const backend_attempt &a, const attempt_result &result, time_point now);
     void complete(const backend_attempt_ptr &a, attempt_result result);
     void failWaiting();
+    /// Fails the attempts that wait for a server to which none may be sent now.
+    void failWaitingIfUnwanted();
+    bool wantsNoRequests() const;
     void release(slot &s);
     void remove(slot &s);
     void endOverdueAttempts(time_point now);
@@ -181,6 +188,8 @@
     std::uint32_t m_standing = 0;
     bool m_isDraining = false;
     time_point m_coldUntil{};
+    /// Until then the server wants no requests from this instance.
+    time_point m_heldOffUntil{};
     time_point m_connectAfter{};
     duration m_connectBackoff{};
     time_point m_nextCheck{};
--- a/include/peridotwheel/gateway/wire_dialect.h
+++ b/include/peridotwheel/gateway/wire_dialect.h
@@ -47,6 +47,8 @@
     std::optional<request_rate> limit;
     /// Whether the server will shut down and wants no new requests.
     bool isLeaving = false;
+    /// How long the server wants no further request from this instance; only with a rejection.
+    std::optional<duration> holdOff;
 };
 
 /// Why the gateway replies itself instead of forwarding an answer.
--- a/lib/gateway/backend_server.cpp
+++ b/lib/gateway/backend_server.cpp
@@ -83,12 +83,30 @@
         complete(a, {});
 }
 
+bool backend_server::wantsNoRequests() const
+{
+    return isDraining() || m_env.loop.now() < m_heldOffUntil;
+}
+
+void backend_server::failWaitingIfUnwanted()
+{
+    if (wantsNoRequests())
+        failWaiting();
+}
+
+duration backend_server::availableIn() const
+{
+    const time_point now = m_env.loop.now();
+    const duration heldOff = std::max(m_heldOffUntil - now, duration::zero());
+    return std::max(heldOff, m_limit.delay(m_waiting.size(), now));
+}
+
 placement_candidate backend_server::candidate() const
 {
     const time_point now = m_env.loop.now();
     placement_candidate c;
     c.health = &m_health;
-    c.isUsable = !isDraining() && m_maxConnections > 0;
+    c.isUsable = !wantsNoRequests() && m_maxConnections > 0;
     c.isCold = now < m_coldUntil;
     c.hasIdleConnection = idleSlot(false) != nullptr;
     c.canConnect = m_slots.size() < m_maxConnections && now >= m_connectAfter;
@@ -140,7 +158,7 @@
 
 void backend_server::openIfNeeded()
 {
-    if (isDraining() || m_env.loop.now() < m_connectAfter)
+    if (wantsNoRequests() || m_env.loop.now() < m_connectAfter)
         return;
     std::size_t opening = 0;
     for (const auto &s : m_slots)
@@ -294,8 +312,7 @@
     s.attempt = nullptr;
     release(s);
     complete(a, std::move(result));
-    if (isDraining())
-        failWaiting();
+    failWaitingIfUnwanted();
     dispatch();
 }
 
@@ -402,7 +419,7 @@
 
 void backend_server::checkHealth(time_point now)
 {
-    if (!m_health.isSuspect() || isDraining() || now < m_nextCheck || m_maxConnections == 0)
+    if (!m_health.isSuspect() || wantsNoRequests() || now < m_nextCheck || m_maxConnections == 0)
         return;
     const bool isUnderWay = std::any_of(m_slots.begin(), m_slots.end(),
                                         [](const auto &s) { return s->isChecking || !s->isOpen; });
@@ -433,8 +450,7 @@
     }
     reportSuspicionChange(wasSuspect);
     release(s);
-    if (isDraining())
-        failWaiting();
+    failWaitingIfUnwanted();
     dispatch();
 }
 
@@ -454,6 +470,13 @@
         m_isDraining = true;
         m_env.onStateChanged(*this, "server_leaving");
     }
+    if (notice.holdOff) {
+        const time_point until = m_env.loop.now() + *notice.holdOff;
+        const bool isNew = m_heldOffUntil <= m_env.loop.now();
+        m_heldOffUntil = std::max(m_heldOffUntil, until);
+        if (isNew)
+            m_env.onStateChanged(*this, "server_holds_off");
+    }
 }
 
 void backend_server::onLimitChanged()
@@ -490,7 +513,7 @@
     endOverdueAttempts(now);
     closeStale(now);
     checkHealth(now);
-    if (isDraining() || now < m_connectAfter)
+    if (wantsNoRequests() || now < m_connectAfter)
         return;
     if (m_slots.empty() && std::min(m_standing, m_maxConnections) > 0)
         open();
--- a/lib/gateway/running_request.h
+++ b/lib/gateway/running_request.h
@@ -108,8 +108,9 @@
     /// Returns the refusal for a request that failed without a server's reply to pass on.
     refusal ownFailure() const;
     /// Returns the retry delay for the caller: the longest one of the services whose part is not
-    /// answered.
+    /// answered, and at least the time until enough servers accept requests.
     duration retryAfter() const;
+    duration timeUntilServersAccept() const;
     void refuse(duration retryAfter, const char *text);
     void deliver(const http_reply &reply, const char *outcome);
     /// Detaches the part's attempts. Attempts that have been sent may run until \p end.
--- a/lib/gateway/running_request_answer.cpp
+++ b/lib/gateway/running_request_answer.cpp
@@ -11,6 +11,9 @@
 /// Attempts that are still in flight after the answer are aborted after this time; pauses of
 /// servers are shorter.
 constexpr duration leftoverAttemptTimeout = milliseconds(500);
+/// Greatest share of the time until servers accept requests again that is added to it, so that
+/// callers do not all return at once.
+constexpr double availabilityJitter = 0.2;
 
 } // namespace
 
@@ -110,7 +113,30 @@
         if (!p.isAnswered)
             longest = std::max(longest, p.group->advice.retryDelay(chance));
     }
-    return longest;
+    return std::max(longest, scaled(timeUntilServersAccept(), 1 + availabilityJitter * chance));
+}
+
+duration running_request::timeUntilServersAccept() const
+{
+    std::vector<duration> waits;
+    waits.reserve(m_parts.size());
+    for (const part &p : m_parts) {
+        duration wait{};
+        if (!p.isAnswered && !p.group->servers.empty()) {
+            wait = duration::max();
+            for (const auto &server : p.group->servers)
+                wait = std::min(wait, server->availableIn());
+        }
+        waits.push_back(wait);
+    }
+    std::sort(waits.begin(), waits.end());
+    parts_state accepted = partsState();
+    for (accepted.answered = 1; accepted.answered <= waits.size(); ++accepted.answered) {
+        const duration wait = waits[accepted.answered - 1];
+        if (meetsMinCoverage(accepted))
+            return wait < duration::max() ? wait : duration::zero();
+    }
+    return duration::zero();
 }
 
 refusal running_request::ownFailure() const
--- a/unittests/gateway/fake_backends.cpp
+++ b/unittests/gateway/fake_backends.cpp
@@ -63,6 +63,8 @@
     if (const std::string *limit = reply.header("Limit"))
         notice.limit = request_rate(std::stod(*limit));
     notice.isLeaving = reply.header("Leaving") != nullptr;
+    if (const std::string *holdOff = reply.header("Hold-Off-Ms"))
+        notice.holdOff = milliseconds(std::stoi(*holdOff));
     return notice;
 }
 
--- a/unittests/gateway/fake_backends.h
+++ b/unittests/gateway/fake_backends.h
@@ -16,7 +16,8 @@
 namespace peridotwheel {
 
 /// A dialect of single words: a request is "ID LEFT-MS SERVER"; a reply carries its verdict in the
-/// header "V" and its seal in the header "S", and may have the notices "Limit" and "Leaving".
+/// header "V" and its seal in the header "S", and may have the notices "Limit", "Leaving"
+/// and "Hold-Off-Ms".
 class fake_dialect : public wire_dialect
 {
 public:
--- a/unittests/gateway/server_notice_test.cpp
+++ b/unittests/gateway/server_notice_test.cpp
@@ -284,6 +284,44 @@
     EXPECT_GT(plainServer(0).arrived.size(), before);
 }
 
+// A server that asked for a pause got the next requests at once, as any server that rejects one.
+TEST_F(server_notice_test, leavesAServerAloneForTheTimeThatItAsksFor)
+{
+    warmUp();
+    plainServer(0).behaviour = server_behaviour::Reject;
+    plainServer(0).notices = {{"Hold-Off-Ms", "10000"}};
+    EXPECT_EQ(answered("/one/", 1), 1);
+    plainServer(0).behaviour = server_behaviour::Answer;
+    plainServer(0).notices.clear();
+    const std::size_t before = plainServer(0).arrived.size();
+    EXPECT_EQ(answered("/one/", 300), 300);
+    EXPECT_EQ(plainServer(0).arrived.size(), before);
+    loop.advance(seconds(5));
+    EXPECT_EQ(answered("/one/", 20), 20);
+    EXPECT_GT(plainServer(0).arrived.size(), before);
+}
+
+// A request that no server takes for some time must be refused at once, with advice to come back
+// when one does.
+TEST_F(server_notice_test, refusesAtOnceWhileAllServersAskForAPause)
+{
+    warmUp();
+    for (std::size_t replica = 0; replica < replicas; ++replica) {
+        plainServer(replica).behaviour = server_behaviour::Reject;
+        plainServer(replica).notices = {{"Hold-Off-Ms", replica == 1 ? "6000" : "10000"}};
+    }
+    EXPECT_EQ(answered("/one/", 3), 0);
+    const std::size_t before = backends.arrivals();
+    const auto client = send("/one/", "late");
+    loop.advance(milliseconds(1));
+    ASSERT_EQ(client->replies.size(), 1U);
+    EXPECT_EQ(client->replies[0].status, 503);
+    const int retryAfterMs = std::stoi(*client->replies[0].header("Retry-After-Ms"));
+    EXPECT_GE(retryAfterMs, 4000);
+    EXPECT_LE(retryAfterMs, 9000);
+    EXPECT_EQ(backends.arrivals(), before);
+}
+
 namespace {
 
 const time_point start(seconds(1000));
