Read the store's other entries beside one that cannot be parsed

Reported by operators of similar systems, and possible here: one entry of another writer that is nested very deeply, holds a number out of range or bytes that are no text made the whole list, or the whole watch, unreadable. The instance then repeated the call without end and followed no server at all; one that had just started knew none. No process ended.

Cause: a reply of the store was parsed as one document. It is now split into its objects by structure alone, without a parser for the values and without recursion, and each value is parsed where it is used.

--- a/unittests/support/support_test.cpp
+++ b/unittests/support/support_test.cpp
@@ -1,5 +1,6 @@
 #include "peridotwheel/support/compression.h"
 #include "peridotwheel/support/hash.h"
+#include "peridotwheel/support/json_text.h"
 #include "peridotwheel/support/libevent_loop.h"
 #include "peridotwheel/support/log.h"
 #include "peridotwheel/support/manual_loop.h"
@@ -90,3 +91,42 @@
     damaged.back() = static_cast<char>(~damaged.back());
     EXPECT_FALSE(decompress(damaged, text.size()));
 }
+
+TEST(json_text, splitsObjectsAndArraysWithoutParsingTheirValues)
+{
+    const auto members =
+            jsonMembers(R"( {"a" : [1,{"x":"]}"}], "b\u0063":"q\"{", "n":1e999 ,"e":{}} )");
+    ASSERT_TRUE(members);
+    EXPECT_EQ(members->at("a"), R"([1,{"x":"]}"}])");
+    EXPECT_EQ(members->at("bc"), R"("q\"{")");
+    EXPECT_EQ(members->at("n"), "1e999");
+    EXPECT_EQ(members->at("e"), "{}");
+    EXPECT_TRUE(jsonMembers("{}")->empty());
+    const auto elements = jsonElements(R"([ {"a":1}, "x,y" ,7])");
+    ASSERT_TRUE(elements);
+    EXPECT_EQ(*elements, (std::vector<std::string_view>{R"({"a":1})", R"("x,y")", "7"}));
+    EXPECT_TRUE(jsonElements("[]")->empty());
+}
+
+// A reply that was cut short or damaged must not be taken for one with fewer objects.
+TEST(json_text, refusesTextThatIsNoObjectOrArray)
+{
+    const std::string whole = R"({"items":[{"a":"b"},[1]],"n":2})";
+    for (std::size_t length = 0; length < whole.size(); ++length)
+        EXPECT_FALSE(jsonMembers(whole.substr(0, length))) << length;
+    for (const char *text : {"", "7", "[", "[1", "[1,", "[,]", "[1,]", "[1}", "[{]}", "[1]]", "{}"})
+        EXPECT_FALSE(jsonElements(text)) << text;
+    for (const char *text : {"[]", "{1:2}", R"({"a"})", R"({"a":})", R"({"a":1,})", R"({"a":1}x)"})
+        EXPECT_FALSE(jsonMembers(text)) << text;
+}
+
+// Nested values must not be able to overflow the stack.
+TEST(json_text, skipsDeeplyNestedValues)
+{
+    constexpr std::size_t depth = 1000000;
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    const std::string text = "{\"a\":" + nested + ",\"b\":1}";
+    const auto members = jsonMembers(text);
+    ASSERT_TRUE(members);
+    EXPECT_EQ(members->at("b"), "1");
+}
