Bound the replies that an exchange skips

Tests over 13 kinds of endless heads and bodies show that the parser refuses each of them within its limits. Interim replies and late replies to other requests are whole messages, though, and were skipped as long as they came: an attempt then lasted until its deadline and took processor time for every message.

An exchange fails after 16 skipped replies, which closes the connection. givesUpOnRepliesToOtherRequestsWithoutEnd failed before (100 interim replies and no end) and passes.

--- a/lib/http/socket_connector.cpp
+++ b/lib/http/socket_connector.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::size_t maxReplyHeaderBytes = 64 * 1024;
+/// Interim replies and replies to other requests that one exchange skips before it fails.
+constexpr int maxSkippedReplies = 16;
 
 class socket_connection : public client_connection
 {
@@ -34,6 +36,7 @@
         m_done = std::move(done);
         m_parser.expectNoBody(m_request.isHead);
         m_lastReceivedAt.reset();
+        m_skippedReplies = 0;
         if (m_stream.isConnected())
             writeRequest();
     }
@@ -90,7 +93,7 @@
         const bool answersOtherRequest =
                 m_request.isReplyToRequest && !m_request.isReplyToRequest(reply);
         if (isInterim || answersOtherRequest) {
-            if (keep)
+            if (keep && ++m_skippedReplies <= maxSkippedReplies)
                 return false;
             fail();
             return true;
@@ -149,6 +152,7 @@
     exchange_request m_request;
     outcome_hook m_done;
     std::optional<time_point> m_lastReceivedAt;
+    int m_skippedReplies = 0;
     bool m_written = false;
     bool m_ended = false;
     socket_stream m_stream;
--- a/unittests/http/message_parser_test.cpp
+++ b/unittests/http/message_parser_test.cpp
@@ -128,3 +128,70 @@
     parser.feed(text.data(), text.size());
     EXPECT_EQ(parser.state(), parse_state::Complete);
 }
+
+// A server that stopped in the middle of a reply's head must not yield a complete, empty reply.
+TEST(message_parser, refusesAReplyThatEndsAnywhereBeforeItsEnd)
+{
+    const std::string heads[] = {
+            "HTTP/1.1 200 OK\r\nSeal: abc\r\nContent-Length: 4\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nSeal: abc\r\n\r\n",
+            "HTTP/1.1 200 OK\nContent-Length: 4\nSeal: abc\n\n",
+            "HTTP/1.1 200 OK\r\nSeal: abc\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n",
+    };
+    for (const std::string &head : heads) {
+        const bool isChunked = head.find("chunked") != std::string::npos;
+        const std::string whole = head + "body" + (isChunked ? "\r\n0\r\n\r\n" : "");
+        for (std::size_t length = 0; length < whole.size(); ++length) {
+            message_parser parser(message_parser::role::Reply);
+            parser.feed(whole.data(), length);
+            parser.feedEnd();
+            EXPECT_NE(parser.state(), parse_state::Complete) << whole.substr(0, length);
+        }
+    }
+    const std::string noLength = "HTTP/1.1 200 OK\r\nSeal: abc\r\n\r\n";
+    for (std::size_t length = 0; length < noLength.size(); ++length) {
+        message_parser parser(message_parser::role::Reply);
+        parser.feed(noLength.data(), length);
+        parser.feedEnd();
+        EXPECT_NE(parser.state(), parse_state::Complete) << noLength.substr(0, length);
+    }
+}
+
+// Bytes that come without end must not be collected without end.
+TEST(message_parser, refusesBytesWithoutEnd)
+{
+    const std::pair<const char *, const char *> streams[] = {
+            {"", "x"},
+            {"", "\r\n"},
+            {"HTTP/1.1 200 ", "OK"},
+            {"HTTP/1.1 2", "0"},
+            {"HTTP/1.1 200 OK\r\n", "x"},
+            {"HTTP/1.1 200 OK\r\nName: ", "x"},
+            {"HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
+            {"HTTP/1.1 200 OK\r\nA: b\r\n", " folded\r\n"},
+            {"HTTP/1.1 200 OK\r\n\r\n", "x"},
+            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "Name: value\r\n"},
+    };
+    // The smallest chunks take six times the bytes of their content.
+    constexpr std::size_t mostBytes = 8 * message_limits().maxBodyBytes;
+    for (const auto &[prefix, filler] : streams) {
+        message_parser parser(message_parser::role::Reply);
+        parser.feed(prefix, std::string(prefix).size());
+        std::string block;
+        while (block.size() < 1024)
+            block += filler;
+        const auto isReading = [&parser] {
+            return parser.state() == parse_state::Empty ||
+                   parser.state() == parse_state::Incomplete;
+        };
+        std::size_t taken = 0;
+        while (isReading() && taken < mostBytes)
+            taken += parser.feed(block.data(), block.size());
+        EXPECT_LT(taken, mostBytes) << prefix << " and then " << filler;
+        EXPECT_FALSE(isReading()) << prefix << " and then " << filler;
+        EXPECT_NE(parser.state(), parse_state::Complete) << prefix << " and then " << filler;
+    }
+}
--- a/unittests/http/stream_test.cpp
+++ b/unittests/http/stream_test.cpp
@@ -336,3 +336,24 @@
     ASSERT_TRUE(outcome);
     EXPECT_EQ(outcome->failure, transport_failure::MayHaveRun);
 }
+
+// Interim replies, or late replies to other requests, kept an exchange busy as long as they came.
+TEST_F(client_connection_test, givesUpOnRepliesToOtherRequestsWithoutEnd)
+{
+    for (const std::string &filler :
+         {std::string("HTTP/1.1 100 Continue\r\n\r\n"), replyText("x")}) {
+        outcome.reset();
+        connection = connector.open(to, {nullptr, [] {}});
+        peer = unique_fd(accept(listener.get(), nullptr, nullptr));
+        runFor(milliseconds(20));
+        send([](const http_reply &reply) {
+            const std::string *id = reply.header("Id");
+            return id != nullptr && *id == "mine";
+        });
+        for (int i = 0; i < 100 && !outcome; ++i)
+            answer(filler);
+        ASSERT_TRUE(outcome) << filler;
+        EXPECT_EQ(outcome->failure, transport_failure::MayHaveRun);
+        EXPECT_FALSE(connection->open());
+    }
+}
