Draw the loads of the admission tests in a fixed order

Cause: its classes were in a map keyed by their addresses, and each one takes its first random number in the order of that map, so that the compiler's placement of three objects chose the load. The decision code does not differ between the machines.

The classes now draw in the order in which the test names them.

--- a/unittests/limits/admission_controller_test.cpp
+++ b/unittests/limits/admission_controller_test.cpp
@@ -72,8 +72,9 @@
 {
     std::uint32_t limit = 6;
     double serviceMs = 20;
-    /// Arrivals per second by class.
-    std::map<const class_spec *, double> rates;
+    /// Classes and their arrivals per second. The classes draw random numbers in this order, so it
+    /// must not depend on the addresses of the classes, which differ between compilers.
+    std::vector<std::pair<const class_spec *, double>> rates;
     bool enabled = true;
 };
 
