Let a burst of a rank use its whole slack in the admission queue

Cause: a request behind others of its rank was refused when its estimated wait took more than 0.85 of its slack. That reserve is for the lasting overload of a rank, where waits always grow to the bound; in a burst of a rank without overload it refused requests that were expected to end in time.

The test takes the urgent share over 22 to 111 runs for each number of slots, 40,000 requests in all for each, and checks the other bounds for every run.

--- a/lib/limits/admission_queue.cpp
+++ b/lib/limits/admission_queue.cpp
@@ -10,12 +10,10 @@
 
 /// Share of its slack for which a request may wait behind others of its rank. In a lasting overload
 /// the queue always fills up to this bound, so half of the slack is reserved for the variation of
-/// service times: in simulated floods at 3 to 10 slots, a share of 0.85 left 90 to 96% of the
-/// capacity to answers within their target, and 0.5 left 97% or more. A short burst may use more:
-/// at 3 slots of 50 ms, a constant share of 0.5 refused 2.8% of the urgent requests during a flood
-/// of another class.
+/// service times. A short burst may use all of it, since there is no reason to refuse a request
+/// that is expected to end in time.
 constexpr double overloadShareOfSlack = 0.5;
-constexpr double burstShareOfSlack = 0.85;
+constexpr double burstShareOfSlack = 1.0;
 /// Ratios of offered to served requests between which the share falls linearly from the burst value
 /// to the overload value. Ratios below 1.5 also arise from the random arrivals of a slow class
 /// (18/s) without overload.
--- a/unittests/limits/admission_controller_test.cpp
+++ b/unittests/limits/admission_controller_test.cpp
@@ -164,19 +164,29 @@
 } // namespace
 
 // Guards against a flood of the least urgent class that delays the others or spends capacity on
-// late answers.
+// late answers. The urgent class has few requests in one run, so its share is taken over many.
 TEST(admissionController, floodOfTheLeastUrgentClass)
 {
     for (scenario s : slotConfigurations) {
         const double capacity = s.limit * 1000 / s.serviceMs;
         s.rates = {{&urgent, 0.3 * capacity}, {&middle, 0.2 * capacity}, {&low, 10 * capacity}};
-        load_run run(s, 11);
-        std::printf("limit %u service %.0f: urgent %.4f middle %.4f low share %.3f useful %.3f\n",
-                    s.limit, s.serviceMs, run.onTimeFraction(urgent), run.onTimeFraction(middle),
-                    run.capacityShare(low), run.usefulShare());
-        EXPECT_GE(run.onTimeFraction(urgent), 0.995);
-        EXPECT_GE(run.onTimeFraction(middle), 0.95);
-        EXPECT_GE(run.usefulShare(), 0.9);
+        constexpr double requestsOfAllRuns = 40'000;
+        constexpr double secondsOfARun = 20;
+        const int runs = static_cast<int>(requestsOfAllRuns / (0.3 * capacity * secondsOfARun));
+        tally all;
+        for (int seed = 11; seed < 11 + runs; ++seed) {
+            load_run run(s, static_cast<std::uint64_t>(seed));
+            EXPECT_GE(run.onTimeFraction(middle), 0.95) << "seed " << seed;
+            EXPECT_GE(run.usefulShare(), 0.9) << "seed " << seed;
+            const tally &one = run.tallies[urgent.name];
+            all.inTarget += one.inTarget;
+            all.late += one.late;
+            all.refused += one.refused;
+        }
+        const double onTime = all.inTarget / (all.inTarget + all.late + all.refused);
+        std::printf("limit %u service %.0f, %d runs: urgent %.5f\n", s.limit, s.serviceMs, runs,
+                    onTime);
+        EXPECT_GE(onTime, 0.995);
     }
 }
 
