--- a/unittests/gateway/configuration_transfer_test.cpp
+++ b/unittests/gateway/configuration_transfer_test.cpp
@@ -102,9 +102,7 @@
     EXPECT_EQ(instancesWithout(24), 0);
 }
 
-// After a stall, an instance with an old view had a backlog of requests from instances that were
-// ahead of it. It requested the configuration of each of them and was busy with their copies until
-// its view was old again.
+// An instance with an old view requested the view of each requester in its backlog after a stall.
 TEST(view_exchange, requestsFromInstancesThatAreAheadDoNotCauseOneRequestEach)
 {
     manual_loop loop;
--- a/unittests/gateway/server_notice_test.cpp
+++ b/unittests/gateway/server_notice_test.cpp
@@ -301,8 +301,7 @@
     EXPECT_GT(plainServer(0).arrived.size(), before);
 }
 
-// A request that no server takes for some time must be refused at once, with advice to come back
-// when one does.
+// Callers must not wait for servers that are known to take nothing.
 TEST_F(server_notice_test, refusesAtOnceWhileAllServersAskForAPause)
 {
     warmUp();
--- a/unittests/http/stream_test.cpp
+++ b/unittests/http/stream_test.cpp
@@ -302,8 +302,7 @@
     EXPECT_EQ(outcome->failure, transport_failure::NotSent);
 }
 
-// The store's reply with a large configuration took longer than the timeout on a narrow link, and
-// the watch that was then repeated took as long again.
+// The store's reply with a large configuration was discarded on a narrow link while it arrived.
 TEST_F(client_connection_test, aReplyThatKeepsArrivingDoesNotTimeOut)
 {
     sendWithTimeout(milliseconds(100));
--- a/unittests/limits/admission_controller_test.cpp
+++ b/unittests/limits/admission_controller_test.cpp
@@ -163,8 +163,7 @@
 
 } // namespace
 
-// Guards against a flood of the least urgent class that delays the others or spends capacity on
-// late answers. The urgent class has few requests in one run, so its share is taken over many.
+// Guards against a flood that delays other classes or spends capacity on late answers.
 TEST(admissionController, floodOfTheLeastUrgentClass)
 {
     for (scenario s : slotConfigurations) {
