--- a/lib/gateway/running_request.cpp
+++ b/lib/gateway/running_request.cpp
@@ -156,10 +156,13 @@
         if (tooLong || isLimited)
             p.isGivenUp = true;
         if (p.isGivenUp || p.likelyUnresponsive) {
-            const char *event = !best       ? "no_server"
-                                : tooLong   ? "wait_too_long"
-                                : isLimited ? "servers_limited"
-                                            : "servers_silent";
+            const char *event = "servers_silent";
+            if (!best)
+                event = "no_server";
+            else if (tooLong)
+                event = "wait_too_long";
+            else if (isLimited)
+                event = "servers_limited";
             m_trace.add(now, event, p.group->name.value(), "",
                         static_cast<double>(p.group->servers.size()));
         }
