Bound the delay of a server without a share of its limit

The whole check, run with sanitizers, found a signed overflow: the delay of a server to which this instance may send nothing was the greatest duration, and placement adds the round trip to it, also for candidates that are not usable. The wrapped estimate was not used for a choice.

The delay has a named bound of 24 hours now.

--- a/include/peridotwheel/gateway/server_limit.h
+++ b/include/peridotwheel/gateway/server_limit.h
@@ -17,6 +17,9 @@
 class server_limit
 {
 public:
+    /// Delay of a request that this instance may not send at all.
+    static constexpr duration unavailable = std::chrono::hours(24);
+
     /// A limit lapses \p lifetime after the server last named it, since an instance without a share
     /// gets no answers that could end it. The lifetimes of the instances should differ, so that
     /// they do not all send to the server again at once.
@@ -38,8 +41,8 @@
     std::optional<request_rate> limit(time_point now) const;
     /// Returns the limit if the server named it to this instance recently.
     std::optional<request_rate> namedHere(time_point now) const;
-    /// Returns the time until a request may be sent that waits behind \p ahead others;
-    /// `duration::max()` if this instance has no share.
+    /// Returns the time until a request may be sent that waits behind \p ahead others, and
+    /// `unavailable` if this instance has no share.
     duration delay(std::size_t ahead, time_point now) const;
     /// Takes the permission to send one request; returns false if there is none now.
     bool take(time_point now);
--- a/lib/gateway/backend_server.cpp
+++ b/lib/gateway/backend_server.cpp
@@ -116,7 +116,7 @@
     c.slots = m_record.slots;
     c.waitingAttempts = m_waiting.size();
     c.sendDelay = m_limit.delay(m_waiting.size(), now);
-    c.isUsable = c.isUsable && c.sendDelay < duration::max();
+    c.isUsable = c.isUsable && c.sendDelay < server_limit::unavailable;
     return c;
 }
 
@@ -261,7 +261,7 @@
         }
         if (!m_limit.take(now)) {
             const duration delay = m_limit.delay(0, now);
-            if (delay < duration::max())
+            if (delay < server_limit::unavailable)
                 m_limitTimer = m_env.loop.schedule(delay, [this] { dispatch(); });
             break;
         }
--- a/lib/gateway/gateway_state.cpp
+++ b/lib/gateway/gateway_state.cpp
@@ -30,9 +30,6 @@
 /// share get an answer about once a second.
 constexpr duration minLimitLifetime = seconds(3);
 
-/// Logged for a server to which this instance may send no request at all.
-constexpr duration longestLoggedWait = std::chrono::hours(24);
-
 std::string limitText(std::optional<request_rate> limit)
 {
     return limit ? std::to_string(limit->perSecond()) : "none";
@@ -116,24 +113,22 @@
 
 backend_server_ptr gateway_state::makeServer(const backend_record &record)
 {
-    backend_server::environment env{
-            loop,
-            connector,
-            dialect,
-            [this](const backend_server &server, const char *what) {
-                const time_point now = loop.now();
-                log.decision(what)
-                        .add("server", server.record().id.value())
-                        .add("service", server.record().service.value())
-                        .addMs("silent_ms", server.health().silentFor(now))
-                        .add("limit", limitText(server.limit()))
-                        .addMs("available_in_ms",
-                               std::min(server.availableIn(), longestLoggedWait));
-            },
-            [this](const backend_record &of, request_rate limit) {
-                return ownShareOfLimit(of, limit);
-            },
-            scaled(minLimitLifetime, 1 + random.fraction())};
+    backend_server::environment env{loop,
+                                    connector,
+                                    dialect,
+                                    [this](const backend_server &server, const char *what) {
+                                        const time_point now = loop.now();
+                                        log.decision(what)
+                                                .add("server", server.record().id.value())
+                                                .add("service", server.record().service.value())
+                                                .addMs("silent_ms", server.health().silentFor(now))
+                                                .add("limit", limitText(server.limit()))
+                                                .addMs("available_in_ms", server.availableIn());
+                                    },
+                                    [this](const backend_record &of, request_rate limit) {
+                                        return ownShareOfLimit(of, limit);
+                                    },
+                                    scaled(minLimitLifetime, 1 + random.fraction())};
     auto server = std::make_shared<backend_server>(std::move(env), record,
                                                    healthCheckPathOf(record.service),
                                                    assumedRoundTrip(record.dataCentre));
--- a/lib/gateway/running_request_answer.cpp
+++ b/lib/gateway/running_request_answer.cpp
@@ -123,7 +123,7 @@
     for (const part &p : m_parts) {
         duration wait{};
         if (!p.isAnswered && !p.group->servers.empty()) {
-            wait = duration::max();
+            wait = server_limit::unavailable;
             for (const auto &server : p.group->servers)
                 wait = std::min(wait, server->availableIn());
         }
@@ -134,7 +134,7 @@
     for (accepted.answered = 1; accepted.answered <= waits.size(); ++accepted.answered) {
         const duration wait = waits[accepted.answered - 1];
         if (meetsMinCoverage(accepted))
-            return wait < duration::max() ? wait : duration::zero();
+            return wait < server_limit::unavailable ? wait : duration::zero();
     }
     return duration::zero();
 }
--- a/lib/gateway/server_limit.cpp
+++ b/lib/gateway/server_limit.cpp
@@ -77,9 +77,8 @@
     const double missing = static_cast<double>(ahead) + 1 - available(now);
     if (missing <= roundingTolerance)
         return duration::zero();
-    constexpr double longestSeconds = 3600;
-    if (missing >= ownRate * longestSeconds)
-        return duration::max();
+    if (1000 * missing >= ownRate * toMilliseconds(unavailable))
+        return unavailable;
     // Rounded up, since a request that is sent a microsecond early is not let through.
     return fromMilliseconds(1000 * missing / ownRate) + duration(1);
 }
--- a/unittests/gateway/server_notice_test.cpp
+++ b/unittests/gateway/server_notice_test.cpp
@@ -384,7 +384,7 @@
     server_limit limit(lifetime);
     limit.onHint(request_rate(3), start);
     limit.setOwnShare(0, start);
-    EXPECT_EQ(limit.delay(0, start + seconds(1)), duration::max());
+    EXPECT_EQ(limit.delay(0, start + seconds(1)), server_limit::unavailable);
     EXPECT_FALSE(limit.take(start + seconds(3)));
     EXPECT_EQ(limit.delay(0, start + lifetime), duration::zero());
     EXPECT_TRUE(limit.take(start + lifetime));
