Tell queued queries from those with more work in the admission

Cause: the admission took what a query needs beyond the usual service time for queueing, and restricted on the mean of two samples against 10 ms. A query with more work is slow at all its shards. One long query also counted several times, since each report of a running query was a sample of its own.

Change: the signal is a low quantile of at least four different queries, since a standing queue delays all of them. An overload begins when the excess over 0.2 of the shortest target, integrated over time, reaches 300 ms, and the queue is then held at 0.05 of it until the share has been whole for a second. Rejections by full servers count by themselves. Growth is smaller while the share is small, and the share stays at 0.9 of the finished work at least.

--- a/lib/gateway/admission_share.cpp
+++ b/lib/gateway/admission_share.cpp
@@ -12,26 +12,43 @@
 
 /// Minimum share: enough queries to detect that the queues have drained.
 constexpr double minAdmittedShare = 0.01;
-/// Target queueing delay as a fraction of the shortest latency target. It is small because a query
-/// waits for the slowest of many parts, and urgent queries share the queues with all others.
-constexpr double queueShareOfTarget = 0.1;
+/// Target queueing delay during an overload, as a fraction of the shortest latency target. It is
+/// small because a query waits for the slowest of many parts, and urgent queries share the queues
+/// with all others.
+constexpr double restrictedQueueShare = 0.05;
+/// Queueing delay that is tolerated without an overload, as a fraction of the shortest latency
+/// target. Random arrivals queue for a moment at any load.
+constexpr double openQueueShare = 0.2;
+/// An overload counts as lasting until the share has been whole for this time.
+constexpr duration overloadMemory = seconds(1);
 /// Interval between changes of the share; a change takes about one query duration to show.
 constexpr duration adjustInterval = milliseconds(40);
 /// Minimum number of samples in an interval, since a single query may have met a slow server.
 /// Instances with few callers extend the interval until they have this many samples.
-constexpr int minSamples = 2;
-/// Cap of a sample as a multiple of the target queueing delay, for the same reason.
-constexpr int maxSampleFactor = 4;
+constexpr std::size_t minSamples = 2;
+/// Minimum number of queries that must have been delayed for their delay to count as queueing.
+constexpr std::size_t minDelayedQueries = 4;
+/// Quantiles of the queueing delays, during an overload and otherwise.
+constexpr double restrictedQuantile = 0.25;
+constexpr double openQuantile = 0.2;
+/// Cap of the excess of the queueing delay, so that one step stays bounded.
+constexpr double maxExcess = 3;
 /// Gains for shrinking: the logarithm of the shrink factor is the negated sum of `excessGain` times
 /// the excess and `excessGrowthGain` times the growth of the excess since the last interval. The
 /// excess is relative: 0 at the target queueing delay, -1 without queueing.
 constexpr double excessGain = 0.1;
 constexpr double excessGrowthGain = 0.3;
+/// Integral of the excess over time from which on a queue counts as standing: a short burst at
+/// usual load ends before.
+constexpr duration toleratedExcessTime = milliseconds(300);
 /// Bound of the logarithm of one shrink step.
 constexpr double maxLogShrink = 0.7;
 /// Additive growth per interval, scaled by the negative excess. Additive increase makes the shares
 /// of all instances converge.
 constexpr double growthPerInterval = 0.015;
+/// Part of the additive growth that does not depend on the share. The rest is proportional to it,
+/// since a step of the same size overshoots while the share is small.
+constexpr double fixedGrowth = 0.4;
 /// After this time with hardly any queueing the overload counts as over, and the share also grows
 /// by a factor that rises with each further interval.
 constexpr duration recoveryDelay = milliseconds(250);
@@ -43,17 +60,19 @@
 /// A queue that shrinks at least by this factor per interval is already draining; refusing more
 /// callers would leave the shards idle afterwards.
 constexpr double drainingFactor = 0.98;
-/// Added to the excess in proportion to the share of parts that full servers rejected. Servers with
-/// short queues reject work long before the queueing delay becomes too long.
-constexpr double rejectionExcess = 2;
-/// Without new samples, the last queueing delay is not used for longer than this.
+/// Excess per share of the parts that full servers rejected. Servers with short queues reject work
+/// long before the queueing delay becomes too long.
+constexpr double rejectionExcess = 4;
+/// Share of rejected parts up to which queues are not taken for full.
+constexpr double toleratedRejections = 0.01;
+/// Samples are not used for longer than this.
 constexpr duration sampleLifetime = seconds(2);
 /// Time in which the sums of offered and finished work decay to 1 / e.
 constexpr duration workDecayTime = milliseconds(400);
 /// Lower bound of the share, relative to the ratio of finished to offered work. In an overload the
 /// shards finish what they can, so with this bound queues shrink quickly without leaving the shards
 /// idle.
-constexpr double finishedWorkFloor = 0.7;
+constexpr double finishedWorkFloor = 0.9;
 /// Minimum retry delay, which grows as the share falls. An overload lasts for seconds, and callers
 /// that retry too soon would only be refused again.
 constexpr duration minRetryDelay = seconds(1);
@@ -61,6 +80,11 @@
 constexpr duration maxRetryDelay = seconds(10);
 constexpr double retryJitter = 0.5;
 
+double intervalsIn(duration d)
+{
+    return toMilliseconds(d) / toMilliseconds(adjustInterval);
+}
+
 } // namespace
 
 std::map<class_rank, double> divideAdmission(double admitted, const rank_demands &demands)
@@ -87,10 +111,9 @@
 void admission_share::setClasses(const std::map<class_name, class_spec> &classes)
 {
     m_floors = rankFloors(classes);
-    duration shortest = duration::max();
+    m_shortestTarget = duration::max();
     for (const auto &[name, spec] : classes)
-        shortest = std::min(shortest, spec.latencyTarget);
-    m_queueingTarget = scaled(shortest, queueShareOfTarget);
+        m_shortestTarget = std::min(m_shortestTarget, spec.latencyTarget);
 }
 
 void admission_share::decay(time_point now)
@@ -115,38 +138,79 @@
 {
     if (now < m_intervalEnd)
         return;
-    if (m_samples < minSamples && now - m_intervalEnd < sampleLifetime)
+    if (m_newSamples < minSamples && now - m_intervalEnd < sampleLifetime)
         return;
-    if (m_samples == 0)
+    dropSamples(now);
+    if (m_samples.empty())
         m_share = 1;
     else
-        step(updateExcess(), now);
-    m_queueingSum = {};
-    m_rejectedSum = 0;
-    m_samples = 0;
-    m_queueSamples = 0;
+        step(updateExcess(now), now);
+    m_newSamples = 0;
     m_intervalEnd = now + adjustInterval;
 }
 
-double admission_share::updateExcess()
+void admission_share::dropSamples(time_point now)
 {
-    // If no server accepted a part in this interval, the last queueing delay is the best estimate.
-    if (m_queueSamples > 0)
-        m_queueingExcess =
-                toMilliseconds(m_queueingSum / m_queueSamples) / toMilliseconds(m_queueingTarget) -
-                1;
-    return m_queueingExcess + rejectionExcess * m_rejectedSum / m_samples;
+    const auto isRecent = [now](const sample &s) { return now - s.takenAt < sampleLifetime; };
+    const std::size_t used = std::max(m_newSamples, minDelayedQueries);
+    const auto first =
+            m_samples.end() - static_cast<std::ptrdiff_t>(std::min(used, m_samples.size()));
+    m_samples.erase(m_samples.begin(), std::find_if(first, m_samples.end(), isRecent));
 }
 
-void admission_share::grow(double excess, time_point now)
+duration admission_share::standingDelay() const
+{
+    if (m_samples.size() < minDelayedQueries)
+        return duration::zero();
+    std::vector<duration> delays;
+    delays.reserve(m_samples.size());
+    // Servers that reject all parts of a query have full queues, which is the longest delay.
+    for (const sample &s : m_samples)
+        delays.push_back(s.queueingDelay.value_or(m_shortestTarget));
+    const double quantile = m_share < 1 ? restrictedQuantile : openQuantile;
+    const auto chosen = delays.begin() +
+                        static_cast<std::ptrdiff_t>(static_cast<double>(delays.size()) * quantile);
+    std::nth_element(delays.begin(), chosen, delays.end());
+    return *chosen;
+}
+
+duration admission_share::restrictedTarget() const
+{
+    return scaled(m_shortestTarget, restrictedQueueShare);
+}
+
+bool admission_share::isOverloaded(time_point now) const
+{
+    return m_share < 1 || now - m_restrictedAt < overloadMemory;
+}
+
+duration admission_share::targetInForce(time_point now) const
+{
+    return isOverloaded(now) ? restrictedTarget() : scaled(m_shortestTarget, openQueueShare);
+}
+
+double admission_share::updateExcess(time_point now)
+{
+    if (m_share < 1)
+        m_restrictedAt = now;
+    m_queueing = standingDelay();
+    const duration target = targetInForce(now);
+    const double excess =
+            std::min<double>(toMilliseconds(m_queueing) / toMilliseconds(target) - 1, maxExcess);
+    double rejected = 0;
+    for (const sample &s : m_samples)
+        rejected += s.rejectedShare;
+    rejected /= static_cast<double>(m_samples.size());
+    return rejected > toleratedRejections ? std::max(excess, 0.0) + rejectionExcess * rejected
+                                          : excess;
+}
+
+void admission_share::grow(double excess, double passed, time_point now)
 {
-    const auto intervalsIn = [](duration d) {
-        return toMilliseconds(d) / toMilliseconds(adjustInterval);
-    };
-    const double passed = std::min(intervalsIn(now - m_lastStepAt), maxCountedIntervals);
     const double idle = std::max(intervalsIn(now - m_lastQueueingAt - recoveryDelay), 0.0);
     const double factor = 1 + recoveryGrowth * std::min(idle, maxCountedIntervals) * passed;
-    m_share = std::min(m_share * factor - growthPerInterval * excess * passed, 1.0);
+    const double step = growthPerInterval * (fixedGrowth + (1 - fixedGrowth) * m_share);
+    m_share = std::min(m_share * factor - step * excess * passed, 1.0);
 }
 
 void admission_share::step(double excess, time_point now)
@@ -154,17 +218,20 @@
     const double before = std::exchange(m_lastExcess, excess);
     if (excess > lowQueueingExcess)
         m_lastQueueingAt = now;
-    if (excess <= 0)
-        grow(excess, now);
+    const double passed = std::min(intervalsIn(now - m_lastStepAt), maxCountedIntervals);
     m_lastStepAt = now;
+    // A short burst, or a pause of this process, delays queries for a moment only.
+    m_excessTime = std::clamp(m_excessTime + scaled(adjustInterval, excess * passed),
+                              duration::zero(), toleratedExcessTime);
     if (excess <= 0)
-        return;
-    // A single interval with excess may come from a short burst or a pause of this process.
-    const bool isStanding = before > 0 || m_share < 1;
+        return grow(excess, passed, now);
+    const bool isStanding =
+            before > 0 && (isOverloaded(now) || m_excessTime >= toleratedExcessTime);
     const bool isDraining = 1 + excess < drainingFactor * (1 + before);
     const double change = excessGain * excess + excessGrowthGain * (excess - before);
+    // A step of an instance with few callers covers several intervals.
     if (isStanding && !isDraining)
-        shrink(std::exp(-std::clamp(change, 0.0, maxLogShrink)));
+        shrink(std::exp(-std::clamp(change * std::max(passed / 2, 1.0), 0.0, maxLogShrink)));
 }
 
 void admission_share::shrink(double factor)
@@ -202,18 +269,18 @@
     // Adjusts first, so that queries that end together, as after a pause of this process, are
     // sampled in the same interval.
     adjust(now);
-    if (query.queueingDelay) {
-        m_queueingSum += std::min(*query.queueingDelay, maxSampleFactor * m_queueingTarget);
-        ++m_queueSamples;
-    }
-    m_rejectedSum += query.rejectedShare;
-    ++m_samples;
+    const auto earlier = std::find_if(m_samples.begin(), m_samples.end(),
+                                      [&](const sample &s) { return s.query == query.query; });
+    if (earlier != m_samples.end())
+        m_samples.erase(earlier);
+    m_samples.push_back({query.query, query.queueingDelay, query.rejectedShare, now});
+    m_newSamples = std::min(m_newSamples + 1, m_samples.size());
 }
 
 void admission_share::onQueryRunning(const query_progress &query, time_point now)
 {
     // A running query gives only a lower bound of its queueing delay.
-    if (query.queueingDelay && *query.queueingDelay > m_queueingTarget)
+    if (query.queueingDelay && *query.queueingDelay > targetInForce(now))
         addSample(query, now);
 }
 
--- a/lib/gateway/gateway_state.h
+++ b/lib/gateway/gateway_state.h
@@ -81,6 +81,7 @@
     backend_server_ptr makeServer(const backend_record &record);
     /// Returns the admission share of the shards of a gather; null for other routes.
     std::shared_ptr<admission_share> admissionOf(const route &r) const;
+    query_number nextQuery() { return query_number(m_nextQuery++); }
     /// Creates, updates and removes admission shares to match the routes in force.
     void updateAdmissions();
 
@@ -129,6 +130,7 @@
     void logAdmissions();
     void logOpenAdmission(const service_name &shard, const char *reason);
 
+    std::uint64_t m_nextQuery = 1;
     time_point m_startedAt;
     time_point m_lastTick;
     timer m_timer;
--- a/lib/gateway/running_request.cpp
+++ b/lib/gateway/running_request.cpp
@@ -22,6 +22,7 @@
     : m_state(state)
     , m_route(std::move(r))
     , m_admission(state.admissionOf(*m_route))
+    , m_number(state.nextQuery())
     , m_version(version)
     , m_request(std::make_shared<outgoing_request>(state.dialect.prepare(request, terms)))
     , m_client(std::move(client))
@@ -101,6 +102,7 @@
 query_progress running_request::progress() const
 {
     query_progress progress;
+    progress.query = m_number;
     progress.work = m_state.workOf(*m_route).onIdleServers();
     std::vector<duration> times;
     times.reserve(m_parts.size());
--- a/lib/gateway/running_request.h
+++ b/lib/gateway/running_request.h
@@ -121,6 +121,7 @@
     route_ptr m_route;
     /// Absent for plain requests.
     std::shared_ptr<admission_share> m_admission;
+    query_number m_number;
     configuration_version m_version;
     std::shared_ptr<const outgoing_request> m_request;
     std::shared_ptr<http_responder> m_client;
--- a/unittests/gateway/admission_test.cpp
+++ b/unittests/gateway/admission_test.cpp
@@ -82,6 +82,12 @@
 const class_rank urgentRank(0);
 const class_rank lowRank(1);
 
+query_number nextQuery()
+{
+    static std::uint64_t last = 0;
+    return query_number(++last);
+}
+
 std::map<class_name, class_spec> lowClass()
 {
     std::map<class_name, class_spec> classes;
@@ -117,6 +123,7 @@
     struct query
     {
         std::vector<duration> times;
+        query_number number = nextQuery();
         time_point arrival;
         duration work{};
         admission_share *at = nullptr;
@@ -129,6 +136,7 @@
             all.resize(parts - rejected, now - arrival);
             std::sort(all.begin(), all.end());
             query_progress p;
+            p.query = number;
             p.work = work;
             p.rejectedShare = static_cast<double>(rejected) / static_cast<double>(parts);
             if (!all.empty())
@@ -343,7 +351,7 @@
     for (int i = 0; i < 1000; ++i) {
         now += milliseconds(10);
         EXPECT_TRUE(one.admit(lowRank, lowWork, 0.999, now));
-        one.onQueryEnded({lowWork, milliseconds(8), 0}, now);
+        one.onQueryEnded({nextQuery(), lowWork, milliseconds(8), 0}, now);
     }
 }
 
@@ -358,7 +366,7 @@
         // After a pause, the queries that were in flight end together.
         const bool wasPaused = i % 40 == 0;
         for (int k = 0; k < (wasPaused ? 3 : 1); ++k)
-            one.onQueryEnded({lowWork, milliseconds(wasPaused ? 60 : 1), 0}, now);
+            one.onQueryEnded({nextQuery(), lowWork, milliseconds(wasPaused ? 60 : 1), 0}, now);
         EXPECT_TRUE(one.admit(lowRank, lowWork, 0.999, now));
     }
 }
@@ -370,7 +378,7 @@
     time_point now{seconds(1000)};
     for (int i = 0; i < 100; ++i) {
         now += milliseconds(100);
-        one.onQueryEnded({lowWork, milliseconds(200), 0}, now);
+        one.onQueryEnded({nextQuery(), lowWork, milliseconds(200), 0}, now);
     }
     EXPECT_LT(one.share(), 0.05);
     for (int i = 0; i < 100; ++i)
@@ -387,12 +395,12 @@
     EXPECT_GT(one.retryAfter(0.9), one.retryAfter(0.1));
     for (int i = 0; i < 10; ++i) {
         now += milliseconds(100);
-        one.onQueryEnded({lowWork, milliseconds(200), 0}, now);
+        one.onQueryEnded({nextQuery(), lowWork, milliseconds(200), 0}, now);
     }
     EXPECT_GT(one.retryAfter(0), seconds(2));
     for (int i = 0; i < 1000; ++i) {
         now += milliseconds(100);
-        one.onQueryEnded({lowWork, milliseconds(200), 0}, now);
+        one.onQueryEnded({nextQuery(), lowWork, milliseconds(200), 0}, now);
     }
     EXPECT_EQ(one.retryAfter(0), seconds(10));
 }
--- a/unittests/gateway/shared_shards.cpp
+++ b/unittests/gateway/shared_shards.cpp
@@ -234,6 +234,7 @@
 query_progress shared_shards::progress(const query &q) const
 {
     query_progress p;
+    p.query = query_number(q.number);
     p.work = q.at->work[q.of->rank].onIdleServers();
     p.rejectedShare = static_cast<double>(q.rejected) / static_cast<double>(m_servers.size());
     std::vector<duration> times;
