Add failing tests for requests that arrive as accepting ends

A planned stop closes the listener and all idle connections at one moment. On the code before, a request on a connection that waited to be accepted, and one whose bytes had arrived and were not read yet, were cut off without an answer: answersRequestsOfConnectionsThatWaitToBeAccepted and answersRequestsThatAreNotReadYetWhenAcceptingEnds fail.

--- a/unittests/http/stream_test.cpp
+++ b/unittests/http/stream_test.cpp
@@ -206,6 +206,49 @@
     EXPECT_NE(text.find("whole"), std::string::npos);
 }
 
+// A request that arrived before accepting ended must not be cut off, even if its connection was
+// still in the queue of the listener.
+TEST_F(stream_server_test, answersRequestsOfConnectionsThatWaitToBeAccepted)
+{
+    const unique_fd fd = connectRaw();
+    write(fd, get);
+    server.beginDrain();
+    server.stopAccepting();
+    runFor(milliseconds(20));
+    ASSERT_EQ(exchanges.size(), 1U);
+    exchanges[0]->reply({200, {}, "whole"});
+    runFor(milliseconds(20));
+    EXPECT_NE(received(fd).find("whole"), std::string::npos);
+}
+
+// The same for a request whose bytes have arrived on an idle connection and were not read yet.
+TEST_F(stream_server_test, answersRequestsThatAreNotReadYetWhenAcceptingEnds)
+{
+    const unique_fd fd = connectRaw();
+    runFor(milliseconds(20));
+    write(fd, get);
+    server.beginDrain();
+    server.stopAccepting();
+    runFor(milliseconds(20));
+    ASSERT_EQ(exchanges.size(), 1U);
+    exchanges[0]->reply({200, {}, "whole"});
+    runFor(milliseconds(20));
+    EXPECT_NE(received(fd).find("whole"), std::string::npos);
+}
+
+// After accepting has ended, a client that has sent nothing yet must not send into the last moments
+// of the process.
+TEST_F(stream_server_test, closesIdleConnectionsWhenAcceptingEnds)
+{
+    const unique_fd fd = connectRaw();
+    runFor(milliseconds(20));
+    server.beginDrain();
+    server.stopAccepting();
+    write(fd, get);
+    runFor(milliseconds(20));
+    EXPECT_TRUE(exchanges.empty());
+}
+
 TEST_F(stream_server_test, closesIdleConnectionsOnlyAfterTheirTimeout)
 {
     limits.idleTimeout = milliseconds(400);
