Answer every request before a planned stop ends

Cause: the process exited at the end of its grace with requests in flight, whose connections were cut without an answer. Requests that came late, as one whose last bytes arrive after accepting has ended, were passed on although their server could not finish in time, non-idempotent ones too. The listener and idle connections were closed with requests in the queue of the listener and unread bytes in the sockets.

Change: while the process stops, requests have until 0.2 s before its exit: what is in flight then is answered with the parts that it has, or with a failure that says whether it may have run. A plain request is refused as not run where the variation of its service time does not fit into the time left. Before the listener closes, waiting connections are accepted and sockets are read.

--- a/include/peridotwheel/gateway/gateway.h
+++ b/include/peridotwheel/gateway/gateway.h
@@ -63,6 +63,9 @@
     /// measurements; replaces the earlier ones.
     void setHints(const server_hints &hints);
     void handle(const opaque_request &request, std::shared_ptr<http_responder> client);
+    /// Answers each request by \p end at the latest, those in flight included, because this process
+    /// ends soon afterwards. Requests that cannot be finished by then are refused as not run.
+    void finishBy(time_point end);
 
     /// Returns the limits of the configuration in force, or defaults before the first one.
     stream_limits limits() const;
--- a/include/peridotwheel/http/socket_stream.h
+++ b/include/peridotwheel/http/socket_stream.h
@@ -51,6 +51,8 @@
     /// Starts or stops reading. While reading is stopped, TCP flow control holds back a peer that
     /// sends too much, and its close is not detected.
     void setReading(bool reading);
+    /// Reads what has arrived, without waiting for the event loop to report it.
+    void readPending();
     /// Shuts down the sending direction once all buffered data has been written.
     void finishWriting();
 
--- a/include/peridotwheel/http/stream_server.h
+++ b/include/peridotwheel/http/stream_server.h
@@ -42,8 +42,8 @@
     /// Continues to accept connections and to answer, but closes each connection after its next
     /// reply.
     void beginDrain();
-    /// Stops accepting connections and closes idle ones. Requests in flight continue, and their
-    /// connections close after the reply.
+    /// Accepts the connections that wait, then stops accepting and closes idle ones. Requests that
+    /// have arrived continue, and their connections close after the reply.
     void stopAccepting();
     std::size_t openConnections() const;
     std::size_t requestsInFlight() const;
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -126,6 +126,14 @@
     running->start();
 }
 
+void gateway::finishBy(time_point end)
+{
+    m_state->finishBy = end;
+    const auto running = m_state->running;
+    for (const auto &request : running)
+        request->finishBy(end);
+}
+
 stream_limits gateway::limits() const
 {
     return m_state->routes ? m_state->routes->limits() : stream_limits();
--- a/lib/gateway/gateway_instance.cpp
+++ b/lib/gateway/gateway_instance.cpp
@@ -23,6 +23,8 @@
 constexpr duration acceptDurationAfterStop = milliseconds(2600);
 /// Time before the forced kill at which the process exits by itself.
 constexpr duration stopMargin = milliseconds(400);
+/// Time before the exit at which all requests are answered, so that the answers can be sent.
+constexpr duration lastAnswerMargin = milliseconds(200);
 constexpr duration drainCheckInterval = milliseconds(50);
 
 gateway_options optionsFrom(const gateway_settings &s)
@@ -186,6 +188,7 @@
     m_onStopped = std::move(done);
     m_stopDeadline = m_loop.now() + m_settings.stopWithin - stopMargin;
     m_directory.deregister();
+    m_gateway.finishBy(m_stopDeadline - lastAnswerMargin);
     m_callers.beginDrain();
     const duration accept = std::min(acceptDurationAfterStop, m_settings.stopWithin / 2);
     m_acceptTimer = m_loop.schedule(accept, [this] {
--- a/lib/gateway/gateway_state.h
+++ b/lib/gateway/gateway_state.h
@@ -116,6 +116,8 @@
     std::map<service_name, admission> admissions;
     random_source random;
     std::unordered_set<std::shared_ptr<running_request>> running;
+    /// Time by which all requests must be answered; set while the process stops.
+    std::optional<time_point> finishBy;
 
 private:
     /// Returns 2 for the same data centre, 1 for the same region, and 0 for others.
--- a/lib/gateway/running_request.cpp
+++ b/lib/gateway/running_request.cpp
@@ -37,6 +37,20 @@
     const duration target =
             m_route->target - std::min(m_state.options.answerMargin, m_route->target / 2);
     m_times.targetEnd = std::min(m_times.arrival + target, m_times.deadline);
+    if (m_state.finishBy)
+        limitTo(*m_state.finishBy);
+}
+
+void running_request::limitTo(time_point end)
+{
+    m_times.deadline = std::min(m_times.deadline, end);
+    m_times.targetEnd = std::min(m_times.targetEnd, end);
+}
+
+void running_request::finishBy(time_point end)
+{
+    limitTo(end);
+    answerIfDecided();
 }
 
 void running_request::addParts()
@@ -152,7 +166,7 @@
         p.isGivenUp = !best;
         p.likelyUnresponsive = best && best->likelyUnresponsive;
         const bool tooLong = best && !best->likelyUnresponsive &&
-                             now + best->expectedTime > m_times.deadline && !isGather();
+                             now + timeNeeded(*best) > m_times.deadline && !isGather();
         // A part that may not be sent in time would delay the answer to the target for nothing.
         const bool isLimited = best && isGather() && now + best->sendDelay >= m_times.targetEnd;
         if (tooLong || isLimited)
@@ -181,6 +195,16 @@
     return true;
 }
 
+duration running_request::timeNeeded(const placement &best) const
+{
+    // While the process stops, the answer cannot come later than expected, so the variation of the
+    // service time must fit as well.
+    if (!m_state.finishBy)
+        return best.expectedTime;
+    const duration work = m_state.workOf(*m_route).typical();
+    return best.expectedTime + toleratedSilence(duration::zero(), work) - work;
+}
+
 void running_request::onClientGone()
 {
     const auto self = shared_from_this();
--- a/lib/gateway/running_request.h
+++ b/lib/gateway/running_request.h
@@ -27,6 +27,8 @@
     void start();
     /// Reports the progress of the query to admission control; to be called a few times a second.
     void reportProgress();
+    /// Answers the request by \p end at the latest.
+    void finishBy(time_point end);
     /// Ends the request without an answer, when the process stops.
     void drop();
 
@@ -78,6 +80,9 @@
     void addParts();
     /// Refuses the request and returns true if too few parts can probably be answered in time.
     bool refuseIfCoverageUnlikely();
+    void limitTo(time_point end);
+    /// Returns the time to allow for an answer of the server \p best.
+    duration timeNeeded(const placement &best) const;
     /// Chooses a server for the next attempt; \p allowTried includes servers that were already
     /// tried.
     std::optional<placement> choosePlacement(const part &p, bool allowTried) const;
--- a/lib/http/socket_stream.cpp
+++ b/lib/http/socket_stream.cpp
@@ -138,6 +138,12 @@
         event_del(m_readEvent.get());
 }
 
+void socket_stream::readPending()
+{
+    if (m_connected && !m_ended)
+        onReadable();
+}
+
 void socket_stream::onReadable()
 {
     std::array<char, readChunkBytes> readBuffer;
--- a/lib/http/stream_server.cpp
+++ b/lib/http/stream_server.cpp
@@ -266,6 +266,10 @@
 
 void connection::closeIfIdle()
 {
+    const auto self = shared_from_this();
+    const bool mayBeIdle = !m_busy && !m_lingering;
+    if (mayBeIdle)
+        m_stream.readPending();
     const bool isIdle = !m_busy && m_parser.state() == message_parser::parse_state::Empty;
     if (isIdle && m_readAhead.empty() && !m_lingering)
         linger();
@@ -387,6 +391,10 @@
 
 void stream_server::impl::stopAccepting()
 {
+    // Connections that wait to be accepted may hold requests, which closing the listener would cut
+    // off.
+    if (m_listener)
+        onAcceptable();
     m_acceptable.reset();
     m_listener.reset();
     m_state->draining = true;
--- a/unittests/gateway/gateway_fixture.cpp
+++ b/unittests/gateway/gateway_fixture.cpp
@@ -118,4 +118,15 @@
     loop.advance(seconds(11));
 }
 
+int statusOf(const std::shared_ptr<fake_client> &client)
+{
+    return client->replies.empty() ? 0 : client->replies.front().status;
+}
+
+std::string missingIn(const std::shared_ptr<fake_client> &client)
+{
+    const std::string *missing = client->replies.at(0).header("Missing");
+    return missing != nullptr ? *missing : "";
+}
+
 } // namespace peridotwheel
--- a/unittests/gateway/gateway_fixture.h
+++ b/unittests/gateway/gateway_fixture.h
@@ -9,6 +9,11 @@
 
 namespace peridotwheel {
 
+/// Returns the status of the first reply, or 0 without one.
+int statusOf(const std::shared_ptr<fake_client> &client);
+/// Returns the number of missing parts that the first reply states.
+std::string missingIn(const std::shared_ptr<fake_client> &client);
+
 /// A gateway in front of simulated servers: a gather over shards s0 to s4 with servers in three
 /// data centres each, and the service "plain".
 class gateway_fixture : public testing::Test
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -9,17 +9,6 @@
 
 using gateway_requests = gateway_fixture;
 
-int statusOf(const std::shared_ptr<fake_client> &client)
-{
-    return client->replies.empty() ? 0 : client->replies.front().status;
-}
-
-std::string missingIn(const std::shared_ptr<fake_client> &client)
-{
-    const std::string *missing = client->replies.at(0).header("Missing");
-    return missing != nullptr ? *missing : "";
-}
-
 } // namespace
 
 // A gathered answer must hold the greatest records of all parts, and one seal for each.
