--- a/lib/gateway/gateway_state.cpp
+++ b/lib/gateway/gateway_state.cpp
@@ -298,7 +298,8 @@
         log.state("admission_restricted")
                 .add("first_shard", shard.value())
                 .add("share_permille", static_cast<std::int64_t>(1000 * admitted))
-                .addMs("queued_ms", a.share->queueing());
+                .addMs("queued_ms", a.share->queueing())
+                .addMs("tolerated_ms", a.share->restrictedTarget());
     }
 }
 
