Open no connections again that servers close unused

A server that closed a connection which had carried no reply counted as refusing, and placement avoided it, even when the connection had been open for seconds.

Change: of the servers of a service the two quickest are connected in advance at all times, for an attempt and its second attempt; others are connected again when a request needs them.

Two tests of single_server fail with the old code.

--- a/include/peridotwheel/gateway/backend_server.h
+++ b/include/peridotwheel/gateway/backend_server.h
@@ -115,6 +115,9 @@
     /// Sets the number of standing connections, which are kept open without a request. One of them
     /// is opened in advance; connections beyond this number are closed soon after use.
     void setStanding(std::uint32_t standing) { m_standing = standing; }
+    /// Sets whether a standing connection is opened again after it has ended without being used for
+    /// a while. If not, it is opened when a request needs it.
+    void setOpenedInAdvance(bool opened) { m_isOpenedInAdvance = opened; }
     /// Fails the waiting attempts and takes no part in further placement. Attempts in flight
     /// continue.
     void drain();
@@ -163,6 +166,7 @@
     void failWaitingIfUnwanted();
     bool wantsNoRequests() const;
     void release(slot &s);
+    void noteEndOfIdle(const slot &s);
     void remove(slot &s);
     void endOverdueAttempts(time_point now);
     void closeStale(time_point now);
@@ -187,6 +191,9 @@
     std::uint32_t m_standingShare = 0;
     std::uint32_t m_standing = 0;
     bool m_isDraining = false;
+    bool m_isOpenedInAdvance = true;
+    /// Whether the last connection ended unused, and no attempt was submitted since.
+    bool m_endedUnused = false;
     time_point m_coldUntil{};
     /// Until then the server wants no requests from this instance.
     time_point m_heldOffUntil{};
--- a/lib/gateway/backend_server.cpp
+++ b/lib/gateway/backend_server.cpp
@@ -24,6 +24,8 @@
 /// Connections beyond the standing ones are closed after this idle time, because all instances
 /// together must leave room at the server. While a server is needed, requests come more often.
 constexpr duration surplusIdleTimeout = seconds(2);
+/// A server whose last connection was idle for this long at its end is not needed at present.
+constexpr duration unneededAfter = seconds(5);
 /// Interval and timeout of the health checks of a suspected server.
 constexpr duration checkInterval = milliseconds(300);
 constexpr duration checkTimeout = milliseconds(700);
@@ -186,19 +188,27 @@
 void backend_server::onClosed(slot &s)
 {
     const time_point now = m_env.loop.now();
-    // It is normal for a server to close an idle connection that has been used.
-    if (!s.hasReplied) {
+    // It is normal for a server to close an idle connection that it had accepted.
+    const bool wasAccepted = s.isIdle() && now - s.openedAt >= acceptedAfter;
+    if (!s.hasReplied && !wasAccepted) {
         const bool wasSuspect = m_health.isSuspect();
         backOffConnects();
         if (!s.isOpen && !isConnected())
             m_health.onUnreachable(now);
         reportSuspicionChange(wasSuspect);
     }
+    noteEndOfIdle(s);
     remove(s);
     if (m_slots.empty())
         failWaiting();
 }
 
+void backend_server::noteEndOfIdle(const slot &s)
+{
+    if (s.isIdle() && m_waiting.empty() && m_env.loop.now() - s.idleSince >= unneededAfter)
+        m_endedUnused = true;
+}
+
 void backend_server::backOffConnects()
 {
     m_connectBackoff = std::clamp(m_connectBackoff * 2, initialConnectBackoff, maxConnectBackoff);
@@ -209,6 +219,7 @@
 {
     auto a = std::make_shared<backend_attempt>(std::move(spec));
     a->number = m_nextNumber++;
+    m_endedUnused = false;
     m_waiting.emplace(wait_key(a->spec.rank, a->spec.deadline, a->number), a);
     dispatch();
     return a;
@@ -413,8 +424,10 @@
             m_health.onUnreachable(now);
         reportSuspicionChange(wasSuspect);
     }
-    for (slot *s : stale)
+    for (slot *s : stale) {
+        noteEndOfIdle(*s);
         remove(*s);
+    }
 }
 
 void backend_server::checkHealth(time_point now)
@@ -515,7 +528,8 @@
     checkHealth(now);
     if (wantsNoRequests() || now < m_connectAfter)
         return;
-    if (m_slots.empty() && std::min(m_standing, m_maxConnections) > 0)
+    const bool isNeeded = m_isOpenedInAdvance || !m_endedUnused;
+    if (m_slots.empty() && std::min(m_standing, m_maxConnections) > 0 && isNeeded)
         open();
     dispatch();
 }
--- a/lib/gateway/gateway_state.cpp
+++ b/lib/gateway/gateway_state.cpp
@@ -238,9 +238,11 @@
                               estimatePlacement(at, group.usualWork, now)});
     }
     const std::vector<bool> chosen = chooseStanding(candidates);
+    const std::vector<bool> inAdvance = openedInAdvance(candidates, chosen);
     for (std::size_t i = 0; i < chosen.size(); ++i) {
         backend_server &server = *group.servers[i];
         server.setStanding(chosen[i] ? std::max(server.standingShare(), 1U) : 0);
+        server.setOpenedInAdvance(inAdvance[i]);
     }
 }
 
--- a/lib/gateway/standing_connections.cpp
+++ b/lib/gateway/standing_connections.cpp
@@ -5,6 +5,21 @@
 
 namespace peridotwheel {
 
+namespace {
+
+/// An attempt and its second attempt find open connections.
+constexpr std::size_t connectionsInAdvance = 2;
+
+bool isQuicker(const standing_candidate &a, const standing_candidate &b)
+{
+    const auto badness = [](const placement &p) {
+        return std::pair(p.likelyUnresponsive, p.expectedTime);
+    };
+    return badness(a.estimate) < badness(b.estimate);
+}
+
+} // namespace
+
 std::uint32_t standingConnections(std::uint32_t usable)
 {
     return usable / 2;
@@ -21,11 +36,7 @@
             continue;
         chosen[i] = c.hasShare && !c.estimate.likelyUnresponsive;
         any = any || chosen[i];
-        const auto badness = [](const placement &p) {
-            return std::pair(p.likelyUnresponsive, p.expectedTime);
-        };
-        if (quickest == candidates.size() ||
-            badness(c.estimate) < badness(candidates[quickest].estimate))
+        if (quickest == candidates.size() || isQuicker(c, candidates[quickest]))
             quickest = i;
     }
     if (!any && quickest < candidates.size())
@@ -33,4 +44,22 @@
     return chosen;
 }
 
+std::vector<bool> openedInAdvance(const std::vector<standing_candidate> &candidates,
+                                  const std::vector<bool> &chosen)
+{
+    std::vector<std::size_t> order;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (chosen[i])
+            order.push_back(i);
+    }
+    const std::size_t count = std::min(order.size(), connectionsInAdvance);
+    std::partial_sort(
+            order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count), order.end(),
+            [&](std::size_t a, std::size_t b) { return isQuicker(candidates[a], candidates[b]); });
+    std::vector<bool> opened(candidates.size());
+    for (std::size_t i = 0; i < count; ++i)
+        opened[order[i]] = true;
+    return opened;
+}
+
 } // namespace peridotwheel
--- a/lib/gateway/standing_connections.h
+++ b/lib/gateway/standing_connections.h
@@ -30,6 +30,13 @@
 /// share that are not likely unresponsive or, if there are none, the quickest usable one.
 std::vector<bool> chooseStanding(const std::vector<standing_candidate> &candidates);
 
+/// Returns the index of the quickest of the servers in \p chosen, to which a connection is always
+/// kept open, or the number of candidates if none is chosen. The others are connected as long as
+/// they are used, since a large fleet would open connections all the time that servers close
+/// unused.
+std::vector<bool> openedInAdvance(const std::vector<standing_candidate> &candidates,
+                                  const std::vector<bool> &chosen);
+
 } // namespace peridotwheel
 
 #endif
--- a/unittests/gateway/standing_connections_test.cpp
+++ b/unittests/gateway/standing_connections_test.cpp
@@ -151,43 +151,117 @@
     EXPECT_TRUE(chooseStanding({}).empty());
 }
 
-// If connections opened for a short peak stayed open, all instances together would reach the limits
-// of the servers, and an instance that restarts could not connect.
-TEST(backend_server, closesConnectionsBeyondTheStandingOnesSoonAfterUse)
+namespace {
+
+/// One server, and the connections of one instance to it.
+class single_server : public testing::Test
 {
-    constexpr std::uint16_t port = 1000;
-    manual_loop loop;
-    fake_backends backends(loop);
-    const fake_dialect dialect;
-    backend_record record;
-    record.id = server_id("server");
-    record.address = {"10.0.0.1", port};
-    const auto server = std::make_shared<backend_server>(
-            backend_server::environment{loop, backends, dialect,
-                                        [](const backend_server &, const char *) {}},
-            record, "/", milliseconds(2));
-    server->setConnectionShare(3, 1);
-    server->setStanding(1);
-    for (int i = 0; i < 3; ++i) {
+protected:
+    single_server()
+    {
+        backend_record record;
+        record.id = server_id("server");
+        record.address = {"10.0.0.1", port};
+        server = std::make_shared<backend_server>(
+                backend_server::environment{loop, backends, dialect,
+                                            [](const backend_server &, const char *) {}},
+                record, "/", milliseconds(2));
+        server->setConnectionShare(3, 1);
+        server->setStanding(1);
+    }
+
+    void submit()
+    {
         attempt_spec spec;
         spec.deadline = loop.now() + seconds(1);
         spec.request = std::make_shared<outgoing_request>();
         spec.done = [](const attempt_result &) {};
         server->submit(std::move(spec));
     }
+
+    void maintainFor(duration d)
+    {
+        constexpr duration step = milliseconds(50);
+        for (duration passed{}; passed < d; passed += step) {
+            loop.advance(step);
+            server->maintain();
+        }
+    }
+
+    /// Makes the server close each connection this long after its opening.
+    void closeAfter(duration d)
+    {
+        backends.at(port).maxConnections = 0;
+        backends.at(port).resetAfter = d;
+    }
+
+    static constexpr std::uint16_t port = 1000;
+    manual_loop loop;
+    fake_backends backends{loop};
+    const fake_dialect dialect;
+    backend_server_ptr server;
+};
+
+} // namespace
+
+// Servers close idle connections. One that had been open for seconds without a request counted as
+// refused, so that placement avoided the server.
+TEST_F(single_server, doesNotTakeAnIdleConnectionThatTheServerClosesForARefusal)
+{
+    closeAfter(seconds(10));
+    maintainFor(milliseconds(10100));
+    EXPECT_FALSE(server->candidate().recentlyRefused);
+    EXPECT_TRUE(server->candidate().canConnect);
+}
+
+// On a deployment of 295 instances, each opened the connections that its servers had closed again
+// and again without using them: more new connections than requests.
+TEST_F(single_server, doesNotOpenAnUnusedConnectionAgainUnlessItIsNeeded)
+{
+    server->setOpenedInAdvance(false);
+    closeAfter(seconds(10));
+    maintainFor(seconds(5));
+    EXPECT_EQ(backends.at(port).openConnections, 1U);
+    maintainFor(seconds(20));
+    EXPECT_EQ(backends.at(port).openConnections, 0U);
+    submit();
+    maintainFor(seconds(1));
+    EXPECT_EQ(backends.at(port).openConnections, 1U);
+}
+
+TEST_F(single_server, opensAConnectionAgainThatIsNeededInAdvance)
+{
+    closeAfter(seconds(10));
+    maintainFor(seconds(11));
+    EXPECT_EQ(backends.at(port).openConnections, 1U);
+}
+
+// If connections opened for a short peak stayed open, all instances together would reach the limits
+// of the servers, and an instance that restarts could not connect.
+TEST_F(single_server, closesConnectionsBeyondTheStandingOnesSoonAfterUse)
+{
+    for (int i = 0; i < 3; ++i)
+        submit();
     loop.advance(milliseconds(100));
     server->maintain();
     EXPECT_EQ(backends.at(port).openConnections, 3U);
-    for (int i = 0; i < 60; ++i) {
-        loop.advance(milliseconds(50));
-        server->maintain();
-    }
+    maintainFor(seconds(3));
     EXPECT_EQ(backends.at(port).openConnections, 1U);
     // One that is not standing is not opened again once it is closed.
     server->setStanding(0);
-    for (int i = 0; i < 60; ++i) {
-        loop.advance(milliseconds(50));
-        server->maintain();
-    }
+    maintainFor(seconds(3));
     EXPECT_EQ(backends.at(port).openConnections, 0U);
 }
+
+// Of the servers of a service, only the quickest one needs a connection in advance at all times.
+TEST(openedInAdvance, isTheQuickestOfTheChosenServers)
+{
+    std::vector<standing_candidate> c(3);
+    c[0].estimate.expectedTime = milliseconds(5);
+    c[1].estimate.expectedTime = milliseconds(20);
+    c[2].estimate.expectedTime = milliseconds(10);
+    EXPECT_EQ(openedInAdvance(c, {true, true, true}), (std::vector<bool>{true, false, true}));
+    c[2].estimate.likelyUnresponsive = true;
+    EXPECT_EQ(openedInAdvance(c, {true, true, true}), (std::vector<bool>{true, true, false}));
+    EXPECT_EQ(openedInAdvance(c, {false, true, false}), (std::vector<bool>{false, true, false}));
+}
