--- a/lib/gateway/admission_share.h
+++ b/lib/gateway/admission_share.h
@@ -84,6 +84,14 @@
     duration restrictedTarget() const;
 
 private:
+    struct sample
+    {
+        query_number query;
+        std::optional<duration> queueingDelay;
+        double rejectedShare = 0;
+        time_point takenAt;
+    };
+
     /// Adjusts the share once per interval.
     void adjust(time_point now);
     /// Updates the queueing excess from the recent samples. Returns the relative excess over the
@@ -112,14 +120,6 @@
     double m_finished = 0;
     time_point m_decayedAt{};
     double m_share = 1;
-    struct sample
-    {
-        query_number query;
-        std::optional<duration> queueingDelay;
-        double rejectedShare = 0;
-        time_point takenAt;
-    };
-
     /// The last sample of each recent query, oldest first.
     std::vector<sample> m_samples;
     /// How many of them were taken in the current interval.
