--- a/lib/gateway/admission_share.cpp
+++ b/lib/gateway/admission_share.cpp
@@ -41,6 +41,9 @@
 /// Integral of the excess over time from which on a queue counts as standing: a short burst at
 /// usual load ends before.
 constexpr duration toleratedExcessTime = milliseconds(300);
+/// Number of intervals of a usual shrink step. A step of an instance with few callers covers more,
+/// and shrinks by more in proportion.
+constexpr double intervalsOfStep = 2;
 /// Bound of the logarithm of one shrink step.
 constexpr double maxLogShrink = 0.7;
 /// Additive growth per interval, scaled by the negative excess. Additive increase makes the shares
@@ -228,10 +231,10 @@
     const bool isStanding =
             before > 0 && (isOverloaded(now) || m_excessTime >= toleratedExcessTime);
     const bool isDraining = 1 + excess < drainingFactor * (1 + before);
-    const double change = excessGain * excess + excessGrowthGain * (excess - before);
-    // A step of an instance with few callers covers several intervals.
+    const double change = (excessGain * excess + excessGrowthGain * (excess - before)) *
+                          std::max(passed / intervalsOfStep, 1.0);
     if (isStanding && !isDraining)
-        shrink(std::exp(-std::clamp(change * std::max(passed / 2, 1.0), 0.0, maxLogShrink)));
+        shrink(std::exp(-std::clamp(change, 0.0, maxLogShrink)));
 }
 
 void admission_share::shrink(double factor)
