Correct the comment of a test of planned stops

It named a cut request that turned out to have another cause (docs/incidents.md). Comment only; the stream_server tests were run, the whole check was not run again.

--- a/unittests/http/stream_test.cpp
+++ b/unittests/http/stream_test.cpp
@@ -236,8 +236,7 @@
     EXPECT_NE(received(fd).find("whole"), std::string::npos);
 }
 
-// A client that connected just before accepting ended has its request under way: one of 7,538 was
-// cut off on a day of planned stops.
+// A client that connected just before accepting ended has its request under way.
 TEST_F(stream_server_test, awaitsTheFirstRequestOfANewConnectionWhenAcceptingEnds)
 {
     const unique_fd fd = connectRaw();
