Send a repeated attempt on a connection that has not carried its request

Cause: a request that all servers have rejected is sent once more to a server that was tried, and the server usually gets it on the connection that was used last, which is the one that carried the rejected attempt. A late second copy of the rejection arrives there where the next reply is expected and bears the same request id, so that it was taken for the reply to the repeated attempt. The verdict "not run" then let the request go to another server, or be refused, while the server ran it.

Change: an attempt names the connections of its server on which an earlier attempt of the same part has ended, and is sent on another one. If the share of the server's connections leaves no room for another one, an idle one that is excluded is closed for it. Request ids are unique among all other requests on a connection, so that the id identifies every reply again.

Evidence: the two new tests of gateway_requests fail before the change, the first with 503 for a request that ran, the second with two runs of one request:

gateway_test.cpp:166: Failure: statusOf(client) is 503, expected 200 gateway_test.cpp:188: Failure: backends.runs("q") is 2, expected 1

After the change both pass, with the other 32 tests of gateway_requests.

--- a/include/peridotwheel/gateway/backend_server.h
+++ b/include/peridotwheel/gateway/backend_server.h
@@ -17,6 +17,9 @@
 
 namespace peridotwheel {
 
+/// A connection to one backend server; unique among the connections to it.
+using connection_number = strong_id<struct connection_number_tag, std::uint64_t>;
+
 /// How an attempt ended.
 enum class attempt_end {
     Reply,      ///< A reply came; see `attempt_result::verdict`.
@@ -45,6 +48,10 @@
     /// Use only connections that the server has certainly accepted. A server resets connections
     /// beyond its limit, and after a reset it is unknown whether the request ran.
     bool needsProvenConnection = false;
+    /// Connections to the server that are not used. A connection that has carried the request
+    /// before may hold a late second copy of the reply to it, which bears the same request id as
+    /// the reply to this attempt.
+    std::vector<connection_number> excludedConnections;
     std::shared_ptr<const outgoing_request> request;
     /// Called once, and never from within `submit`; not called if the attempt was cancelled,
     /// detached or aborted.
@@ -66,6 +73,8 @@
     bool isSent = false;
     bool isOver = false;
     time_point sentAt{};
+    /// Valid if `isSent`.
+    connection_number connection;
     std::uint64_t number = 0;
 };
 
@@ -150,8 +159,12 @@
     struct slot;
     using wait_key = std::tuple<class_rank, time_point, std::uint64_t>;
 
+    slot *idleSlot(const attempt_spec &spec) const;
     slot *idleSlot(bool proven) const;
+    bool isProven(const slot &s) const;
     slot &open();
+    /// Closes an idle connection that \p spec excludes if no further one may be opened.
+    void makeRoomFor(const attempt_spec &spec);
     void openIfNeeded();
     void onOpen(slot &s);
     void onClosed(slot &s);
@@ -187,6 +200,7 @@
     std::vector<std::unique_ptr<slot>> m_slots;
     std::map<wait_key, backend_attempt_ptr> m_waiting;
     std::uint64_t m_nextNumber = 1;
+    std::uint64_t m_nextConnection = 1;
     std::uint32_t m_maxConnections = 1;
     std::uint32_t m_standingShare = 0;
     std::uint32_t m_standing = 0;
--- a/lib/gateway/backend_server.cpp
+++ b/lib/gateway/backend_server.cpp
@@ -30,12 +30,19 @@
 constexpr duration checkInterval = milliseconds(300);
 constexpr duration checkTimeout = milliseconds(700);
 
+bool isExcluded(const attempt_spec &spec, connection_number number)
+{
+    const auto &excluded = spec.excludedConnections;
+    return std::find(excluded.begin(), excluded.end(), number) != excluded.end();
+}
+
 } // namespace
 
 /// A connection to the server and what it is used for.
 struct backend_server::slot
 {
     std::unique_ptr<client_connection> connection;
+    connection_number number;
     backend_attempt_ptr attempt;
     bool isChecking = false;
     bool isOpen = false;
@@ -133,13 +140,24 @@
            std::any_of(m_slots.begin(), m_slots.end(), [](const auto &s) { return !s->isIdle(); });
 }
 
+bool backend_server::isProven(const slot &s) const
+{
+    return s.hasReplied || m_env.loop.now() - s.openedAt >= acceptedAfter;
+}
+
 backend_server::slot *backend_server::idleSlot(bool proven) const
 {
-    const time_point now = m_env.loop.now();
+    attempt_spec any;
+    any.needsProvenConnection = proven;
+    return idleSlot(any);
+}
+
+backend_server::slot *backend_server::idleSlot(const attempt_spec &spec) const
+{
     slot *best = nullptr;
     for (const auto &s : m_slots) {
-        const bool isProven = s->hasReplied || now - s->openedAt >= acceptedAfter;
-        if (!s->isIdle() || (proven && !isProven))
+        const bool isUnproven = spec.needsProvenConnection && !isProven(*s);
+        if (!s->isIdle() || isUnproven || isExcluded(spec, s->number))
             continue;
         // Prefers the most recently used connection, so that surplus ones become stale.
         if (best == nullptr || s->idleSince > best->idleSince)
@@ -152,12 +170,24 @@
 {
     m_slots.push_back(std::make_unique<slot>());
     slot &s = *m_slots.back();
+    s.number = connection_number(m_nextConnection++);
     s.startedAt = m_env.loop.now();
     s.connection = m_env.connector.open(m_record.address,
                                         {[this, &s] { onOpen(s); }, [this, &s] { onClosed(s); }});
     return s;
 }
 
+void backend_server::makeRoomFor(const attempt_spec &spec)
+{
+    if (m_slots.size() < m_maxConnections)
+        return;
+    const auto it = std::find_if(m_slots.begin(), m_slots.end(), [&spec](const auto &s) {
+        return s->isIdle() && isExcluded(spec, s->number);
+    });
+    if (it != m_slots.end())
+        m_slots.erase(it);
+}
+
 void backend_server::openIfNeeded()
 {
     if (wantsNoRequests() || m_env.loop.now() < m_connectAfter)
@@ -265,8 +295,9 @@
     const time_point now = m_env.loop.now();
     auto it = m_waiting.begin();
     while (it != m_waiting.end()) {
-        slot *s = idleSlot(it->second->spec.needsProvenConnection);
+        slot *s = idleSlot(it->second->spec);
         if (s == nullptr) {
+            makeRoomFor(it->second->spec);
             ++it;
             continue;
         }
@@ -288,6 +319,7 @@
     const time_point now = m_env.loop.now();
     a->isSent = true;
     a->sentAt = now;
+    a->connection = s.number;
     s.attempt = a;
     s.busySince = now;
     m_health.onSent(now);
--- a/lib/gateway/running_request.h
+++ b/lib/gateway/running_request.h
@@ -40,6 +40,12 @@
         backend_attempt_ptr attempt;
     };
 
+    struct used_connection
+    {
+        const backend_server *server;
+        connection_number number;
+    };
+
     /// State of one part, that is, of one service that the request needs.
     struct part
     {
@@ -47,6 +53,8 @@
         std::vector<live_attempt> live;
         /// Servers that have already been chosen for an attempt.
         std::vector<const backend_server *> tried;
+        /// Connections on which an attempt has ended.
+        std::vector<used_connection> used;
         /// Ended attempts that were sent and not certainly rejected, so that they may have run.
         unsigned possibleRuns = 0;
         /// Ended attempts that reached a server, rejected ones included.
--- a/lib/gateway/running_request_retry.cpp
+++ b/lib/gateway/running_request_retry.cpp
@@ -49,6 +49,10 @@
     spec.deadline = m_times.deadline;
     spec.work = m_state.workOf(*m_route).typical();
     spec.needsProvenConnection = !isIdempotent();
+    for (const used_connection &used : p.used) {
+        if (used.server == server.get())
+            spec.excludedConnections.push_back(used.number);
+    }
     spec.request = m_request;
     p.tried.push_back(server.get());
     const char *event = "attempt";
@@ -106,6 +110,8 @@
     }
     if (p.isAnswered || !server)
         return;
+    if (a->isSent)
+        p.used.push_back({server.get(), a->connection});
     // For an idempotent request a connection that was probably refused counts as not opened, since
     // running it twice does no harm. Any other request may have run.
     const bool sent =
--- a/unittests/gateway/fake_backends.cpp
+++ b/unittests/gateway/fake_backends.cpp
@@ -164,6 +164,16 @@
         const bool runs = how != server_behaviour::Reject && how != server_behaviour::WrongServer;
         if (runs && !isCheck)
             m_server.ran.push_back(m_id);
+        // The client skips copies that bear the id of another request.
+        const bool getsLateCopy = !m_lastRejected.empty() && m_lastRejected == m_id;
+        m_lastRejected = how == server_behaviour::Reject && m_server.repeatsRejectionsLate
+                                 ? m_id
+                                 : std::string();
+        if (getsLateCopy) {
+            m_event = m_loop.schedule(m_server.distance / 2,
+                                      [this] { answer(server_behaviour::Reject); });
+            return;
+        }
         if (how == server_behaviour::Silent)
             return;
         const duration work = runs ? m_server.work : duration::zero();
@@ -206,6 +216,8 @@
     client_connection_hooks m_hooks;
     outcome_hook m_done;
     std::string m_id;
+    /// Id of the rejected request whose second copy is still to come, if any.
+    std::string m_lastRejected;
     bool m_open = false;
     bool m_isOverLimit = false;
     timer m_event;
--- a/unittests/gateway/fake_backends.h
+++ b/unittests/gateway/fake_backends.h
@@ -63,6 +63,9 @@
         /// Time from the acceptance of such a connection to its reset.
         duration resetAfter = milliseconds(1);
         std::string records;
+        /// A second copy of each rejection arrives on its connection just before the reply to the
+        /// next request there.
+        bool repeatsRejectionsLate = false;
         /// Headers added to each reply.
         http_headers notices;
         /// Ids of the requests that arrived, and of those that ran.
--- a/unittests/gateway/gateway_fixture.cpp
+++ b/unittests/gateway/gateway_fixture.cpp
@@ -118,6 +118,15 @@
     loop.advance(seconds(11));
 }
 
+void gateway_fixture::warmUpPlain()
+{
+    for (int i = 0; i < 20; ++i) {
+        send("/one/", "warm-one-" + std::to_string(i));
+        loop.advance(milliseconds(50));
+    }
+    loop.advance(seconds(11));
+}
+
 int statusOf(const std::shared_ptr<fake_client> &client)
 {
     return client->replies.empty() ? 0 : client->replies.front().status;
--- a/unittests/gateway/gateway_fixture.h
+++ b/unittests/gateway/gateway_fixture.h
@@ -50,6 +50,8 @@
     std::shared_ptr<fake_client> send(const std::string &target, const std::string &id);
     /// Sends a few requests and has them served, so that work and round trips are measured.
     void warmUp();
+    /// The same for the service "plain" only, with a gateway that was started.
+    void warmUpPlain();
 
     manual_loop loop;
     fake_backends backends{loop};
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -146,6 +146,50 @@
     EXPECT_EQ(backends.runs("booking"), 1U);
 }
 
+// Guards against taking a late second copy of a rejection for the reply to the next attempt of the
+// same request: the request then ran twice, or ran and was refused as not run.
+TEST_F(gateway_requests, lateCopyOfARejectionDoesNotHideTheRunOfTheNextAttempt)
+{
+    warmUp();
+    for (std::size_t r = 0; r < replicas; ++r) {
+        plainServer(r).behaviour = server_behaviour::Reject;
+        plainServer(r).repeatsRejectionsLate = true;
+    }
+    const auto client = send("/once/", "q");
+    for (int i = 0; i < 300; ++i) {
+        loop.advance(milliseconds(1));
+        if (backends.arrivals() > 0 && plainServer(0).arrived.back() == "q")
+            plainServer(0).behaviour = server_behaviour::Answer;
+    }
+    ASSERT_EQ(client->replies.size(), 1U);
+    EXPECT_EQ(backends.runs("q"), 1U);
+    EXPECT_EQ(statusOf(client), 200);
+}
+
+// The same where the limit of the server leaves room for a single connection.
+TEST_F(gateway_requests, replacesItsOnlyConnectionForTheNextAttemptAtTheSameServer)
+{
+    servers.erase(server_id("server-2001"));
+    servers.erase(server_id("server-2002"));
+    start();
+    auto limited = configuration(2);
+    limited.services[service_name("plain")].maxConnections = 1;
+    gate.setRoutes(std::make_shared<route_table>(limited));
+    warmUpPlain();
+    plainServer(0).behaviour = server_behaviour::Reject;
+    plainServer(0).repeatsRejectionsLate = true;
+    const auto client = send("/once/", "q");
+    for (int i = 0; i < 900; ++i) {
+        loop.advance(milliseconds(1));
+        if (plainServer(0).arrived.back() == "q")
+            plainServer(0).behaviour = server_behaviour::Answer;
+    }
+    ASSERT_EQ(client->replies.size(), 1U);
+    EXPECT_EQ(backends.runs("q"), 1U);
+    EXPECT_EQ(statusOf(client), 200);
+    EXPECT_EQ(plainServer(0).openConnections, 1U);
+}
+
 // A refusal may state "not run" only if no server ran the request.
 TEST_F(gateway_requests, saysNotRunWhenEveryServerRejects)
 {
