--- a/include/peridotwheel/gateway/backend_server.h
+++ b/include/peridotwheel/gateway/backend_server.h
@@ -91,8 +91,8 @@
         client_connector &connector;
         const wire_dialect &dialect;
         /// Called when this process starts or stops suspecting a server, or when the server states
-        /// a change of its limit, or that it leaves or wants no requests for a while; \p what names
-        /// the event.
+        /// a change of its limit, or that it leaves or wants no requests for a while, and for each
+        /// late reply to another request; \p what names the event.
         std::function<void(const backend_server &, const char *what)> onStateChanged;
         /// Returns the share of the server's limit that this instance may use, from 0 to 1.
         std::function<double(const backend_record &, request_rate limit)> ownShareOfLimit;
--- a/include/peridotwheel/http/client_connection.h
+++ b/include/peridotwheel/http/client_connection.h
@@ -50,6 +50,8 @@
     std::function<void()> onOpen;
     /// Called when the connection ends while no exchange is in progress.
     std::function<void()> onClosed;
+    /// Called for each reply that belongs to another request and is skipped.
+    std::function<void()> onReplySkipped;
 };
 
 /// Opens connections. Tests substitute their own implementation.
--- a/lib/gateway/backend_server.cpp
+++ b/lib/gateway/backend_server.cpp
@@ -172,8 +172,9 @@
     slot &s = *m_slots.back();
     s.number = connection_number(m_nextConnection++);
     s.startedAt = m_env.loop.now();
-    s.connection = m_env.connector.open(m_record.address,
-                                        {[this, &s] { onOpen(s); }, [this, &s] { onClosed(s); }});
+    s.connection = m_env.connector.open(
+            m_record.address, {[this, &s] { onOpen(s); }, [this, &s] { onClosed(s); },
+                               [this] { m_env.onStateChanged(*this, "server_reply_skipped"); }});
     return s;
 }
 
--- a/lib/http/socket_connector.cpp
+++ b/lib/http/socket_connector.cpp
@@ -93,6 +93,8 @@
         const bool answersOtherRequest =
                 m_request.isReplyToRequest && !m_request.isReplyToRequest(reply);
         if (isInterim || answersOtherRequest) {
+            if (answersOtherRequest && m_hooks.onReplySkipped)
+                m_hooks.onReplySkipped();
             if (keep && ++m_skippedReplies <= maxSkippedReplies)
                 return false;
             fail();
