Bound the memory of all replies in progress together

The smallest machines of the sites have 160 MB: the process ends there, and the requests of all its callers with it.

Cause: a reply may have 64 KB of headers and 8 MB of body, and nothing limited the replies of all connections together. Beyond that, a header of one byte took 64 bytes of memory, a length that was only announced took memory at once, and the parts of a query were kept in full until its answer. With evhttp, a head had no limit at all.

Change: reply_memory decides which replies in progress may grow, one for the connections to servers and one for those to the store and to peers, each with about a sixth of the memory of the process (new setting instance.memory_mb). Replies up to 64 KB never wait for larger ones. Once half of the memory of the larger ones is in use, they go on one after the other, by flow control, so that answers of the permitted size still arrive; replies for which no memory is left are given up, which is logged and counted. The parser refuses more than 1,000 headers and takes memory for bytes that have arrived. A long part is reduced to the records that can be in the answer.

--- a/include/peridotwheel/gateway/gateway_settings.h
+++ b/include/peridotwheel/gateway/gateway_settings.h
@@ -10,6 +10,8 @@
 
 namespace peridotwheel {
 
+constexpr std::size_t bytesPerMegabyte = 1024 * 1024;
+
 /// Settings that one gateway needs before it can reach the store; see docs/settings.md.
 struct gateway_settings
 {
@@ -33,6 +35,8 @@
     duration applyWithin = seconds(3);
     /// Bandwidth of this instance's link.
     byte_rate link = byte_rate::fromMegabits(100);
+    /// Memory that this process may use.
+    std::size_t memoryBytes = 0;
     /// The process is killed this long after it was asked to stop.
     duration stopWithin = seconds(6);
     /// Parts of the operators' rules that are in force.
--- a/include/peridotwheel/http/evhttp_connector.h
+++ b/include/peridotwheel/http/evhttp_connector.h
@@ -16,6 +16,7 @@
     /// Requests whose reply has a larger body fail. Configuration documents are the largest
     /// replies: the platform stores values of up to one megabyte.
     static constexpr std::size_t maxReplyBytes = 4 * 1024 * 1024;
+    static constexpr std::size_t maxReplyHeaderBytes = 64 * 1024;
 
     explicit evhttp_connector(libevent_loop &loop)
         : m_loop(loop)
--- a/include/peridotwheel/http/message_parser.h
+++ b/include/peridotwheel/http/message_parser.h
@@ -29,6 +29,8 @@
 {
     std::size_t maxHeaderBytes = 16 * 1024;
     std::size_t maxBodyBytes = 256 * 1024;
+    /// Each header occupies memory beyond its bytes.
+    std::size_t maxHeaders = 1000;
 };
 
 /// Parses the HTTP/1.1 messages in the byte stream of a connection, one at a time.
@@ -59,6 +61,8 @@
     void feedEnd();
     parse_state state() const;
     bool headersComplete() const;
+    /// Returns about how much memory the message in progress occupies.
+    std::size_t heldBytes() const;
     /// Returns true if the client waits for a 100 Continue before it sends the body.
     bool expectsContinue() const;
     /// Return the complete message and prepare the parser for the next one.
--- a/include/peridotwheel/http/socket_connector.h
+++ b/include/peridotwheel/http/socket_connector.h
@@ -2,9 +2,11 @@
 #define PERIDOTWHEEL_HTTP_SOCKET_CONNECTOR_H
 
 #include "peridotwheel/http/client_connection.h"
+#include "peridotwheel/http/reply_memory.h"
 #include "peridotwheel/http/socket_stream.h"
 
 #include <cstddef>
+#include <memory>
 
 namespace peridotwheel {
 
@@ -14,10 +16,13 @@
 class socket_connector : public client_connector
 {
 public:
-    /// Requests whose reply has a body larger than \p maxReplyBytes fail.
-    socket_connector(libevent_loop &loop, std::size_t maxReplyBytes, tcp_keepalive keepalive)
+    /// Requests whose reply has a body larger than \p maxReplyBytes fail. All replies in progress
+    /// share \p memory.
+    socket_connector(libevent_loop &loop, std::size_t maxReplyBytes,
+                     std::shared_ptr<reply_memory> memory, tcp_keepalive keepalive)
         : m_loop(loop)
         , m_maxReplyBytes(maxReplyBytes)
+        , m_memory(std::move(memory))
         , m_keepalive(keepalive)
     {
     }
@@ -28,6 +33,7 @@
 private:
     libevent_loop &m_loop;
     std::size_t m_maxReplyBytes;
+    std::shared_ptr<reply_memory> m_memory;
     tcp_keepalive m_keepalive;
 };
 
--- a/lib/entry/entry_instance.cpp
+++ b/lib/entry/entry_instance.cpp
@@ -47,6 +47,9 @@
 /// platform stores values of up to a megabyte.
 constexpr std::size_t maxReplyBytes = 4 * 1024 * 1024;
 
+/// Memory that the limits of all replies in progress allow for.
+constexpr std::size_t processMemoryBytes = 256 * 1024 * 1024;
+
 /// Allowance for callers' requests that are running or ask for a status page while the admission
 /// queue is full.
 constexpr std::size_t unqueuedRequestAllowance = 256;
@@ -97,8 +100,12 @@
 
 std::unique_ptr<http_connector> makeEntryConnector(libevent_loop &loop)
 {
+    auto memory = std::make_shared<reply_memory>(
+            reply_memory_limits::forProcess(processMemoryBytes),
+            [](std::size_t bytes) { LOG(WARNING) << "event=reply_given_up bytes=" << bytes; });
     return std::make_unique<stream_connector>(
-            loop, std::make_unique<socket_connector>(loop, maxReplyBytes, tcp_keepalive::Off));
+            loop, std::make_unique<socket_connector>(loop, maxReplyBytes, std::move(memory),
+                                                     tcp_keepalive::Off));
 }
 
 /// The components in the order of their dependencies; they are destroyed in reverse order.
--- a/lib/gateway/gateway_instance.cpp
+++ b/lib/gateway/gateway_instance.cpp
@@ -70,6 +70,7 @@
     decision_log &m_log;
     gateway_settings m_settings;
     counter_set m_counters;
+    std::shared_ptr<reply_memory> m_serverReplies;
     socket_connector m_serverConnector;
     gateway m_gateway;
     instance_directory m_directory;
@@ -92,7 +93,14 @@
     : m_loop(loop)
     , m_log(log)
     , m_settings(std::move(settings))
-    , m_serverConnector(loop, maxServerReplyBytes, tcp_keepalive::Off)
+    , m_serverReplies(std::make_shared<reply_memory>(
+              reply_memory_limits::forProcess(m_settings.memoryBytes),
+              [this](std::size_t bytes) {
+                  m_counters.at("gateway.replies_given_up").add();
+                  m_log.decision("server_reply_given_up")
+                          .add("bytes", static_cast<std::int64_t>(bytes));
+              }))
+    , m_serverConnector(loop, maxServerReplyBytes, m_serverReplies, tcp_keepalive::Off)
     , m_gateway(loop, m_serverConnector, environment.dialect, m_counters, log,
                 optionsFrom(m_settings))
     , m_directory(loop, environment.store, log, selfFrom(m_settings), seed,
@@ -173,6 +181,7 @@
     m_counters.at("gateway.in_flight").set(m_gateway.requestsInFlight());
     m_counters.at("gateway.admitted_permille")
             .set(static_cast<std::uint64_t>(1000 * m_gateway.lowestAdmissionShare()));
+    m_counters.at("gateway.server_reply_bytes").set(m_serverReplies->bytes());
     m_counters.at("gateway.client_connections").set(m_callers.openConnections());
     m_counters.at("log.lines_left_out").set(m_log.droppedLines());
     client.reply({200, {{"Content-Type", "text/plain"}}, metricsText(m_counters)});
--- a/lib/gateway/gateway_settings.cpp
+++ b/lib/gateway/gateway_settings.cpp
@@ -22,6 +22,9 @@
 constexpr double minLinkMegabits = 0.1;
 constexpr double maxLinkMegabits = 1e6;
 constexpr double defaultLinkMegabits = 100;
+constexpr double minMemoryMegabytes = 1;
+constexpr double defaultMemoryMegabytes = 256;
+constexpr double maxMemoryMegabytes = 1e6;
 
 using value_map = std::map<std::string, std::string>;
 
@@ -177,6 +180,9 @@
     s.firstStart = reader.flag("instance.first_start");
     s.link = byte_rate::fromMegabits(reader.number("instance.link_mbit", minLinkMegabits,
                                                    maxLinkMegabits, defaultLinkMegabits));
+    s.memoryBytes = static_cast<std::size_t>(
+            bytesPerMegabyte * reader.number("instance.memory_mb", minMemoryMegabytes,
+                                             maxMemoryMegabytes, defaultMemoryMegabytes));
     s.contracts = reader.list("rules.contracts");
     for (const auto &[dataCentre, region] : reader.section("regions"))
         s.regions[data_centre_id(dataCentre)] = region_id(region);
--- a/lib/gateway/record_merge.cpp
+++ b/lib/gateway/record_merge.cpp
@@ -24,4 +24,11 @@
     return out;
 }
 
+void keepGreatestRecords(answer_part &part, std::size_t count)
+{
+    // Shorter parts are not worth sorting twice.
+    if (part.records.size() > 2 * count * recordBytes)
+        part.records = greatestRecords({part}, count);
+}
+
 } // namespace peridotwheel
--- a/lib/gateway/record_merge.h
+++ b/lib/gateway/record_merge.h
@@ -15,6 +15,10 @@
 /// Equal records all count; trailing bytes that are shorter than a record are ignored.
 std::string greatestRecords(const std::vector<answer_part> &parts, std::size_t count);
 
+/// Frees the memory of a part that is much longer than its greatest \p count records, the only ones
+/// that can be among the greatest of all parts.
+void keepGreatestRecords(answer_part &part, std::size_t count);
+
 } // namespace peridotwheel
 
 #endif
--- a/lib/gateway/running_request_answer.cpp
+++ b/lib/gateway/running_request_answer.cpp
@@ -29,6 +29,7 @@
         return;
     }
     p.result = m_state.dialect.readPart(std::move(result.reply));
+    keepGreatestRecords(p.result, m_route->gather->topRecords);
     answerIfDecided();
 }
 
--- a/lib/http/evhttp_connector.cpp
+++ b/lib/http/evhttp_connector.cpp
@@ -58,6 +58,8 @@
     assert(m_connection && "evhttp_connection_base_new failed: out of memory");
     evhttp_connection_set_closecb(m_connection.get(), &evhttp_client_connection::onClosed, this);
     evhttp_connection_set_max_body_size(m_connection.get(), evhttp_connector::maxReplyBytes);
+    evhttp_connection_set_max_headers_size(m_connection.get(),
+                                           evhttp_connector::maxReplyHeaderBytes);
 }
 
 void evhttp_client_connection::applyTimeout(duration timeout)
--- a/lib/http/message_parser.cpp
+++ b/lib/http/message_parser.cpp
@@ -7,6 +7,12 @@
 
 namespace peridotwheel {
 
+namespace {
+
+constexpr std::size_t minBodyCapacity = 256;
+
+} // namespace
+
 struct message_parser::impl
 {
     explicit impl(http_parser_type t)
@@ -17,6 +23,7 @@
 
     void begin();
     bool addHeaderBytes(std::size_t size);
+    void appendBody(const char *at, std::size_t size);
     int onHeadersComplete();
 
     http_parser parser{};
@@ -28,6 +35,8 @@
     bool headersDone = false;
     bool keepAlive = true;
     std::size_t headerBytes = 0;
+    /// Length that the headers state; 0 if none.
+    std::size_t expectedBodyBytes = 0;
     std::string target;
     http_headers headers;
     std::string body;
@@ -65,9 +74,23 @@
     lastWasValue = true;
     headersDone = false;
     headerBytes = 0;
+    expectedBodyBytes = 0;
     target.clear();
     headers.clear();
-    body.clear();
+    // Frees what an abandoned message occupied.
+    body = std::string();
+}
+
+void message_parser::impl::appendBody(const char *at, std::size_t size)
+{
+    // Memory for a length that was only announced is not taken before the bytes arrive.
+    const std::size_t needed = body.size() + size;
+    if (needed > body.capacity()) {
+        const std::size_t doubled = std::max({needed, 2 * body.capacity(), minBodyCapacity});
+        const bool isKnown = expectedBodyBytes >= needed;
+        body.reserve(isKnown ? std::min(doubled, expectedBodyBytes) : doubled);
+    }
+    body.append(at, size);
 }
 
 bool message_parser::impl::addHeaderBytes(std::size_t size)
@@ -90,7 +113,7 @@
         return -1;
     }
     if (hasLength)
-        body.reserve(length);
+        expectedBodyBytes = length;
     // A message with both a length and chunked encoding, or with another encoding, is ambiguous:
     // two implementations may disagree on where it ends.
     int encodings = 0;
@@ -136,8 +159,13 @@
         impl &s = self(p);
         if (!s.addHeaderBytes(size))
             return -1;
-        if (s.lastWasValue)
+        if (s.lastWasValue) {
+            if (s.headers.size() >= s.limits.maxHeaders) {
+                s.state = message_parser::parse_state::HeaderTooLarge;
+                return -1;
+            }
             s.headers.emplace_back();
+        }
         s.lastWasValue = false;
         s.headers.back().first.append(at, size);
         return 0;
@@ -162,7 +190,7 @@
             s.state = message_parser::parse_state::BodyTooLarge;
             return -1;
         }
-        s.body.append(at, size);
+        s.appendBody(at, size);
         return 0;
     }
 
@@ -248,6 +276,15 @@
     return m_impl->state;
 }
 
+std::size_t message_parser::heldBytes() const
+{
+    const impl &s = *m_impl;
+    if (s.state == parse_state::Empty)
+        return 0;
+    return s.headerBytes + s.headers.capacity() * sizeof(http_headers::value_type) +
+           s.body.capacity();
+}
+
 bool message_parser::headersComplete() const
 {
     return m_impl->headersDone;
--- a/lib/http/socket_connector.cpp
+++ b/lib/http/socket_connector.cpp
@@ -18,10 +18,11 @@
 {
 public:
     socket_connection(libevent_loop &loop, const endpoint &to, std::size_t maxReplyBytes,
-                      tcp_keepalive keepalive, client_connection_hooks hooks)
+                      reply_memory &memory, tcp_keepalive keepalive, client_connection_hooks hooks)
         : m_loop(loop)
         , m_hooks(std::move(hooks))
         , m_parser(message_parser::role::Reply)
+        , m_held(memory, {[this](bool reading) { setReading(reading); }, [this] { giveUp(); }})
         , m_stream(loop, to, keepalive,
                    {[this] { onConnected(); }, [this](std::string_view data) { onData(data); },
                     [this](stream_end how) { onEnd(how); }})
@@ -75,7 +76,8 @@
             data.remove_prefix(m_parser.feed(data.data(), data.size()));
             const auto state = m_parser.state();
             if (state == message_parser::parse_state::Incomplete)
-                return;
+                return m_held.setBytes(m_parser.heldBytes());
+            m_held.setBytes(0);
             if (state != message_parser::parse_state::Complete)
                 return fail();
             if (takeReply(!data.empty()))
@@ -107,10 +109,26 @@
         return true;
     }
 
+    void setReading(bool reading)
+    {
+        if (!m_ended)
+            m_stream.setReading(reading);
+    }
+
+    /// Called amid changes of `reply_memory`, so the failure is reported from the event loop.
+    void giveUp()
+    {
+        m_ended = true;
+        m_parser.reset();
+        m_stream.setReading(false);
+        m_failure = m_loop.schedule(duration::zero(), [this] { fail(); });
+    }
+
     void onEnd(stream_end how)
     {
         const bool notWritten = !m_written;
         m_ended = true;
+        m_held.setBytes(0);
         if (!busy()) {
             if (const auto hook = m_hooks.onClosed)
                 hook();
@@ -157,6 +175,8 @@
     int m_skippedReplies = 0;
     bool m_written = false;
     bool m_ended = false;
+    timer m_failure;
+    reply_memory::holder m_held;
     socket_stream m_stream;
 };
 
@@ -165,7 +185,7 @@
 std::unique_ptr<client_connection> socket_connector::open(const endpoint &to,
                                                           client_connection_hooks hooks)
 {
-    return std::make_unique<socket_connection>(m_loop, to, m_maxReplyBytes, m_keepalive,
+    return std::make_unique<socket_connection>(m_loop, to, m_maxReplyBytes, *m_memory, m_keepalive,
                                                std::move(hooks));
 }
 
--- a/lib/http/socket_stream.cpp
+++ b/lib/http/socket_stream.cpp
@@ -130,7 +130,7 @@
 
 void socket_stream::setReading(bool reading)
 {
-    if (!m_readEvent)
+    if (!m_readEvent || m_ended)
         return;
     if (reading)
         event_add(m_readEvent.get(), nullptr);
--- a/unittests/gateway/support_test.cpp
+++ b/unittests/gateway/support_test.cpp
@@ -97,6 +97,22 @@
     EXPECT_EQ(greatestRecords(parts, 0), "");
 }
 
+// The parts of many shards are kept until the answer, and a faulty server may send a long one.
+TEST(record_merge, keepsOnlyTheGreatestRecordsOfALongPart)
+{
+    std::string records;
+    for (int i = 0; i < 100000; ++i)
+        records += record(static_cast<char>('a' + i % 26));
+    answer_part part{"seal", records};
+    const std::string greatest = greatestRecords({part}, 3);
+    keepGreatestRecords(part, 3);
+    EXPECT_EQ(part.records, greatest);
+    answer_part shortPart{"seal", record('b') + record('a') + record('c') + record('d')};
+    const std::string before = shortPart.records;
+    keepGreatestRecords(shortPart, 3);
+    EXPECT_EQ(shortPart.records, before);
+}
+
 TEST_F(decision_log_test, writesLinesOfPairs)
 {
     log.state("started")
--- a/unittests/http/message_parser_test.cpp
+++ b/unittests/http/message_parser_test.cpp
@@ -195,3 +195,30 @@
         EXPECT_NE(parser.state(), parse_state::Complete) << prefix << " and then " << filler;
     }
 }
+
+// Headers of one byte each took some thirty times their bytes.
+TEST(message_parser, refusesMoreHeadersThanItsLimit)
+{
+    message_parser parser(message_parser::role::Reply);
+    std::string text = "HTTP/1.1 200 OK\r\n";
+    for (int i = 0; i < 1001; ++i)
+        text += "a:\r\n";
+    parser.feed(text.data(), text.size());
+    EXPECT_EQ(parser.state(), message_parser::parse_state::HeaderTooLarge);
+}
+
+// A length that is only announced must take no memory: many servers can announce one at once.
+TEST(message_parser, holdsMemoryForBytesThatHaveArrivedOnly)
+{
+    message_parser parser(message_parser::role::Reply);
+    parser.setLimits({1024, 8 * 1024 * 1024});
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 8000000\r\n\r\n";
+    parser.feed(head.data(), head.size());
+    EXPECT_LT(parser.heldBytes(), 4096U);
+    const std::string piece(100000, 'x');
+    parser.feed(piece.data(), piece.size());
+    EXPECT_GE(parser.heldBytes(), piece.size());
+    EXPECT_LT(parser.heldBytes(), 3 * piece.size());
+    parser.reset();
+    EXPECT_EQ(parser.heldBytes(), 0U);
+}
--- a/unittests/http/stream_test.cpp
+++ b/unittests/http/stream_test.cpp
@@ -75,7 +75,7 @@
 {
 protected:
     client_connection_test()
-        : connector(loop, maxReplyBytes, tcp_keepalive::Off)
+        : connector(loop, maxReplyBytes, memory, tcp_keepalive::Off)
         , listener(socket(AF_INET, SOCK_STREAM, 0))
     {
         sockaddr_in address{};
@@ -132,9 +132,11 @@
     }
 
     libevent_loop loop;
+    std::shared_ptr<reply_memory> memory = std::make_shared<reply_memory>(
+            reply_memory_limits{maxReplyBytes, maxReplyBytes}, [](std::size_t) {});
     socket_connector connector;
-    stream_connector connections{
-            loop, std::make_unique<socket_connector>(loop, maxReplyBytes, tcp_keepalive::Off)};
+    stream_connector connections{loop, std::make_unique<socket_connector>(
+                                               loop, maxReplyBytes, memory, tcp_keepalive::Off)};
     unique_fd listener;
     unique_fd peer;
     endpoint to;
