Close a connection only after its reply has been sent

Cause: the second for which a connection stays open after its last reply was counted from the moment at which the reply was written to the stream, although the stream still held most of it. Two related faults: a connection that stays open was closed after the idle timeout, counted from the same moment, while its client still read; and TCP_USER_TIMEOUT, meant for peers that lost power, ended the connection of a client that did not read for two seconds.

Change: both times count from the latest progress in sending, and the second only from when all was handed to the kernel. A client that reads nothing for the idle timeout is still closed. TCP_USER_TIMEOUT stays for the connections that this process opens; accepted ones end by the idle timeout. What is unsent at the end of the grace period is still lost.

--- a/include/peridotwheel/http/socket_stream.h
+++ b/include/peridotwheel/http/socket_stream.h
@@ -48,6 +48,8 @@
     bool isConnected() const { return m_connected; }
     /// Returns true if all written data has been handed to the kernel.
     bool isDrained() const { return m_unsent.empty(); }
+    /// Returns how much written data has not been handed to the kernel yet.
+    std::size_t unsentBytes() const { return m_unsent.size(); }
     /// Starts or stops reading. While reading is stopped, TCP flow control holds back a peer that
     /// sends too much, and its close is not detected.
     void setReading(bool reading);
--- a/include/peridotwheel/http/stream_server.h
+++ b/include/peridotwheel/http/stream_server.h
@@ -19,7 +19,8 @@
     message_limits message;
     /// From the first byte of a request to the end of its headers.
     duration headerTimeout = seconds(10);
-    /// For an open connection without a request, and from the first byte of a request to its end.
+    /// For an open connection without a request, from the first byte of a request to its end, and
+    /// for a client that reads nothing of a reply.
     duration idleTimeout = seconds(60);
 };
 
--- a/lib/http/socket_stream.cpp
+++ b/lib/http/socket_stream.cpp
@@ -16,10 +16,11 @@
 
 /// Bytes read by one call; most messages fit into it.
 constexpr std::size_t readChunkBytes = 16 * 1024;
-/// A peer that lost power or is unreachable sends nothing, not even a reset. A connection is closed
-/// after about this time with unacknowledged data and, with keepalive, after about the same idle
-/// time without an answer to the probes. The limit is below the time within which a configuration
-/// change must take effect.
+/// A peer that lost power or is unreachable sends nothing, not even a reset. A connection opened
+/// here is closed after about this time with unacknowledged data and, with keepalive, after about
+/// the same idle time without an answer to the probes. The limit is below the time within which a
+/// configuration change must take effect. It does not apply to accepted connections, since it also
+/// ends a connection whose peer only does not read for a while.
 constexpr int tcpUserTimeoutMs = 2000;
 constexpr int tcpKeepaliveIdleSeconds = 1;
 constexpr int tcpKeepaliveIntervalSeconds = 1;
@@ -32,10 +33,9 @@
     static_cast<void>(setsockopt(fd, level, option, &value, sizeof value));
 }
 
-void setOptions(int fd)
+void sendWithoutDelay(int fd)
 {
     setOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
-    setOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, tcpUserTimeoutMs);
 }
 
 void enableTcpKeepalive(int fd)
@@ -73,7 +73,8 @@
     unique_fd fd(socket(address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     if (!fd)
         return {};
-    setOptions(fd.get());
+    sendWithoutDelay(fd.get());
+    setOption(fd.get(), IPPROTO_TCP, TCP_USER_TIMEOUT, tcpUserTimeoutMs);
     if (keepalive == tcp_keepalive::On)
         enableTcpKeepalive(fd.get());
     const int rc = connect(fd.get(), reinterpret_cast<const sockaddr *>(&address), size);
@@ -95,7 +96,7 @@
     , m_hooks(std::move(hooks))
     , m_connected(true)
 {
-    setOptions(m_fd.get());
+    sendWithoutDelay(m_fd.get());
     watchRead();
 }
 
--- a/lib/http/stream_server.cpp
+++ b/lib/http/stream_server.cpp
@@ -24,7 +24,8 @@
 constexpr duration sweepInterval = milliseconds(250);
 /// Once more bytes of pipelined requests are buffered while one is being answered, reading stops.
 constexpr std::size_t maxReadAheadBytes = 64 * 1024;
-/// Time for which a connection stays open after its last reply, so that the client can read it.
+/// Time for which a connection stays open after its last reply was handed to the kernel, so that
+/// the client can read it.
 constexpr duration lingerTimeout = seconds(1);
 
 /// Time within which the first request of a new connection arrives. After accepting has ended, a
@@ -70,6 +71,7 @@
     void start(opaque_request request);
     void refuse(int status, const char *text);
     void linger();
+    void noteSendProgress(time_point now);
 
     state_ptr m_state;
     message_parser m_parser;
@@ -80,7 +82,9 @@
     bool m_continueSent = false;
     bool m_hadRequest = false;
     time_point m_openedAt;
+    /// Start of the present phase of the connection, or the latest progress in sending a reply.
     time_point m_phaseStart;
+    std::size_t m_unsentBytes = 0;
     duration m_idleTimeout;
     socket_stream m_stream;
 };
@@ -248,6 +252,7 @@
 {
     const auto self = shared_from_this();
     m_stream.write(replyText(r, keepAlive, isHead));
+    m_unsentBytes = m_stream.unsentBytes();
     m_busy = false;
     m_phaseStart = m_state->loop.now();
     // The client may rely on the timeout that was in force when it became idle.
@@ -285,11 +290,21 @@
         linger();
 }
 
+void connection::noteSendProgress(time_point now)
+{
+    const std::size_t unsent = m_stream.unsentBytes();
+    if (unsent < m_unsentBytes)
+        m_phaseStart = now;
+    m_unsentBytes = unsent;
+}
+
 void connection::sweep(time_point now)
 {
     const auto self = shared_from_this();
+    noteSendProgress(now);
     if (m_lingering) {
-        if (now - m_phaseStart >= lingerTimeout)
+        const duration timeout = m_stream.isDrained() ? lingerTimeout : m_idleTimeout;
+        if (now - m_phaseStart >= timeout)
             remove();
         return;
     }
--- a/unittests/http/stream_test.cpp
+++ b/unittests/http/stream_test.cpp
@@ -30,9 +30,12 @@
         EXPECT_TRUE(server.listen({"127.0.0.1", 0}));
     }
 
-    unique_fd connectRaw() const
+    /// Connects a client; \p receiveBytes limits what it buffers unread, if given.
+    unique_fd connectRaw(int receiveBytes = 0) const
     {
         unique_fd fd(socket(AF_INET, SOCK_STREAM, 0));
+        if (receiveBytes > 0)
+            setsockopt(fd.get(), SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof receiveBytes);
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_port = htons(server.boundPort());
@@ -56,6 +59,22 @@
         return out;
     }
 
+    /// Reads at about 8 MB/s until \p size bytes or the end have come; returns the bytes read.
+    std::size_t readSlowly(const unique_fd &fd, std::size_t size)
+    {
+        std::size_t all = 0;
+        std::string piece(80 * 1024, '\0');
+        while (all <= size) {
+            runFor(milliseconds(10));
+            const ssize_t n = recv(fd.get(), piece.data(), piece.size(), MSG_DONTWAIT);
+            if (n > 0)
+                all += static_cast<std::size_t>(n);
+            else if (n == 0 || errno != EAGAIN)
+                break;
+        }
+        return all;
+    }
+
     static void write(const unique_fd &fd, const std::string &text)
     {
         ASSERT_EQ(::send(fd.get(), text.data(), text.size(), 0), static_cast<ssize_t>(text.size()));
@@ -278,6 +297,63 @@
     EXPECT_TRUE(exchanges.empty());
 }
 
+// A planned stop, and any reply to a request with "Connection: close", cut off an answer that its
+// client needed more than a second to read.
+TEST_F(stream_server_test, deliversALongAnswerToASlowClientBeforeItCloses)
+{
+    const unique_fd fd = connectRaw(64 * 1024);
+    write(fd, get);
+    runFor(milliseconds(20));
+    server.beginDrain();
+    server.stopAccepting();
+    ASSERT_EQ(exchanges.size(), 1U);
+    const std::size_t size = 16 * 1024 * 1024;
+    exchanges[0]->reply({200, {}, std::string(size, 'x')});
+    EXPECT_GT(readSlowly(fd, size), size);
+    runFor(milliseconds(1500));
+    EXPECT_EQ(server.openConnections(), 0U);
+}
+
+// The same for a client that reads an answer for longer than connections may be idle.
+TEST_F(stream_server_test, doesNotTakeAClientThatStillReadsForIdle)
+{
+    limits.idleTimeout = milliseconds(500);
+    const unique_fd fd = connectRaw(64 * 1024);
+    write(fd, get);
+    runFor(milliseconds(20));
+    ASSERT_EQ(exchanges.size(), 1U);
+    const std::size_t size = 16 * 1024 * 1024;
+    exchanges[0]->reply({200, {}, std::string(size, 'x')});
+    EXPECT_GT(readSlowly(fd, size), size);
+}
+
+// A client may pause for seconds amid an answer.
+TEST_F(stream_server_test, deliversALongAnswerToAClientThatPauses)
+{
+    const unique_fd fd = connectRaw(64 * 1024);
+    write(fd, get);
+    runFor(milliseconds(20));
+    ASSERT_EQ(exchanges.size(), 1U);
+    const std::size_t size = 16 * 1024 * 1024;
+    exchanges[0]->reply({200, {}, std::string(size, 'x')});
+    runFor(seconds(4));
+    EXPECT_GT(readSlowly(fd, size), size);
+}
+
+// A client that reads nothing must not hold its connection for ever.
+TEST_F(stream_server_test, closesTheConnectionOfAClientThatDoesNotReadItsAnswer)
+{
+    limits.idleTimeout = milliseconds(500);
+    const unique_fd fd = connectRaw(64 * 1024);
+    write(fd, get);
+    runFor(milliseconds(20));
+    ASSERT_EQ(exchanges.size(), 1U);
+    server.beginDrain();
+    exchanges[0]->reply({200, {}, std::string(16 * 1024 * 1024, 'x')});
+    runFor(milliseconds(1500));
+    EXPECT_EQ(server.openConnections(), 0U);
+}
+
 TEST_F(stream_server_test, closesIdleConnectionsOnlyAfterTheirTimeout)
 {
     limits.idleTimeout = milliseconds(400);
