Take the memory of the machine for the limit if none is set

The setting instance.memory_mb stays for operators. Without it the limit is the machine's memory, which the platform reports for each machine, and 256 MB at most.

--- a/lib/gateway/gateway_settings.cpp
+++ b/lib/gateway/gateway_settings.cpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <sstream>
+#include <unistd.h>
 
 namespace peridotwheel {
 
@@ -23,7 +24,18 @@
 constexpr double maxLinkMegabits = 1e6;
 constexpr double defaultLinkMegabits = 100;
 constexpr double minMemoryMegabytes = 1;
-constexpr double defaultMemoryMegabytes = 256;
+/// Memory that is used at most if the settings do not state it.
+constexpr std::size_t defaultMemoryBytes = 256 * bytesPerMegabyte;
+
+/// Returns the memory of this machine.
+std::size_t machineMemoryBytes()
+{
+    const long pages = sysconf(_SC_PHYS_PAGES);
+    const long pageBytes = sysconf(_SC_PAGESIZE);
+    if (pages <= 0 || pageBytes <= 0)
+        return defaultMemoryBytes;
+    return static_cast<std::size_t>(pages) * static_cast<std::size_t>(pageBytes);
+}
 constexpr double maxMemoryMegabytes = 1e6;
 
 using value_map = std::map<std::string, std::string>;
@@ -180,9 +192,11 @@
     s.firstStart = reader.flag("instance.first_start");
     s.link = byte_rate::fromMegabits(reader.number("instance.link_mbit", minLinkMegabits,
                                                    maxLinkMegabits, defaultLinkMegabits));
-    s.memoryBytes = static_cast<std::size_t>(
-            bytesPerMegabyte * reader.number("instance.memory_mb", minMemoryMegabytes,
-                                             maxMemoryMegabytes, defaultMemoryMegabytes));
+    const double memoryMegabytes =
+            reader.number("instance.memory_mb", minMemoryMegabytes, maxMemoryMegabytes, 0);
+    s.memoryBytes = memoryMegabytes > 0
+                            ? static_cast<std::size_t>(bytesPerMegabyte * memoryMegabytes)
+                            : std::min(machineMemoryBytes(), defaultMemoryBytes);
     s.contracts = reader.list("rules.contracts");
     for (const auto &[dataCentre, region] : reader.section("regions"))
         s.regions[data_centre_id(dataCentre)] = region_id(region);
--- a/unittests/gateway/support_test.cpp
+++ b/unittests/gateway/support_test.cpp
@@ -175,6 +175,19 @@
     EXPECT_EQ(s.contracts.size(), 2U);
 }
 
+// Many replies at once must fit into the machine, also where the settings do not state its memory.
+TEST(gateway_settings, boundsItsMemoryByTheSettingOrTheMachine)
+{
+    const auto stated = parseGatewaySettings(
+            changed("first_start = true", "first_start = true\nmemory_mb = 160"), "node.ini");
+    ASSERT_TRUE(stated) << stated.error().message;
+    EXPECT_EQ(stated.value().memoryBytes, 160 * bytesPerMegabyte);
+    const auto unstated = parseGatewaySettings(validSettings, "node.ini");
+    ASSERT_TRUE(unstated);
+    EXPECT_GT(unstated.value().memoryBytes, 0U);
+    EXPECT_LE(unstated.value().memoryBytes, 256 * bytesPerMegabyte);
+}
+
 // An error in the settings file must be reported with file, key, value and remedy.
 TEST(gateway_settings, namesWhatIsWrong)
 {
