Keep replies of the store and of peers apart by connection

Cause: replies of the store and of peers have no id and are matched to requests by their order. All calls to an endpoint shared the connections that were kept, so that a late second copy of one reply could be taken for the reply to any later call there: a copy of the reply to a watch of the configuration ended a watch of the servers and moved its revision, past changes that were never read, and a copy of the reply to a write told that a refused write was made.

Change: a call to the store other than a watch has a connection of its own. Watches of one kind, view requests and configuration requests each keep connections for themselves. There a copy is harmless: the revision of a copied watch is the one that the next watch starts from, and views and configurations only rise.

Cost: one more round trip for each call to the store that is no watch, a few at the start of an instance.

--- a/include/peridotwheel/http/http_client.h
+++ b/include/peridotwheel/http/http_client.h
@@ -5,6 +5,8 @@
 
 #include <cstddef>
 #include <map>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace peridotwheel {
@@ -24,7 +26,8 @@
                       outcome_hook done) = 0;
 };
 
-/// An `http_client` that keeps up to `maxIdlePerEndpoint` idle connections for each endpoint.
+/// An `http_client` that keeps up to `maxIdlePerEndpoint` idle connections for each lane of an
+/// endpoint.
 class pooled_http_client : public http_client
 {
 public:
@@ -42,11 +45,14 @@
 private:
     using connection_list = std::vector<std::unique_ptr<http_connection>>;
 
-    std::unique_ptr<http_connection> takeIdle(const endpoint &to);
-    void finish(const endpoint &to, http_connection *connection);
+    /// An endpoint and the lane of the requests to it.
+    using idle_key = std::pair<endpoint, std::string>;
+
+    std::unique_ptr<http_connection> takeIdle(const idle_key &key);
+    void finish(const idle_key &key, bool isAlone, http_connection *connection);
 
     http_connector &m_connector;
-    std::map<endpoint, connection_list> m_idle;
+    std::map<idle_key, connection_list> m_idle;
     connection_list m_busy;
 };
 
--- a/include/peridotwheel/http/http_message.h
+++ b/include/peridotwheel/http/http_message.h
@@ -39,6 +39,13 @@
     std::string path; ///< Path with query string, as on the wire.
     http_headers headers;
     std::string body;
+    /// Requests share kept connections only with requests of the same lane. Replies without an id
+    /// are matched to requests by their order, and a late second copy of one can be taken for the
+    /// reply to a later request of its lane.
+    std::string lane;
+    /// Whether the connection is used for this request only, because no copy may be taken for its
+    /// reply.
+    bool isAlone = false;
 
     const std::string *header(std::string_view name) const { return findHeader(headers, name); }
 };
--- a/lib/gateway/configuration_fetcher.cpp
+++ b/lib/gateway/configuration_fetcher.cpp
@@ -87,6 +87,7 @@
     http_request request;
     request.method = http_method::Post;
     request.path = configurationPath;
+    request.lane = configurationPath;
     request.body =
             encodeConfigurationRequest({std::max(m_hooks.known(), m_fetched), m_document.checksum,
                                         m_document.compressed.size(), m_self});
--- a/lib/gateway/view_exchange.cpp
+++ b/lib/gateway/view_exchange.cpp
@@ -178,6 +178,7 @@
     http_request request;
     request.method = http_method::Post;
     request.path = viewPath;
+    request.lane = viewPath;
     request.body = encodePosition({m_view.version(), known, m_directory.revision(), m_self.peers,
                                    std::move(reports), true});
     return request;
