Log when a request's attempts were sent; count connections by reason

A late query's story did not tell whether its attempts were sent late by a busy instance or answered late by servers, and no counter told why connections were opened.

request_ended now has last_sent_ms, waited_for_connection and processor_ms; counters tell why connections were opened and closed; process.loop_delay is a histogram of how late the loop's ticks begin.

--- a/include/peridotwheel/gateway/backend_server.h
+++ b/include/peridotwheel/gateway/backend_server.h
@@ -58,6 +58,16 @@
     std::function<void(attempt_result)> done;
 };
 
+/// What happened to a connection to a server.
+enum class connection_event {
+    OpenedForAttempt,
+    OpenedInAdvance,
+    OpenedForHealthCheck,
+    Refused,        ///< Not accepted, or reset before its first reply.
+    ClosedByServer, ///< Ended by the server or by the network after it had been accepted.
+    ClosedUnused,   ///< Closed here after it had been idle.
+};
+
 class backend_server;
 
 /// One attempt to run a request on one server.
@@ -72,6 +82,8 @@
     attempt_spec spec;
     bool isSent = false;
     bool isOver = false;
+    /// Whether no connection was free when the attempt was submitted.
+    bool hasWaited = false;
     time_point sentAt{};
     /// Valid if `isSent`.
     connection_number connection;
@@ -98,6 +110,7 @@
         std::function<double(const backend_record &, request_rate limit)> ownShareOfLimit;
         /// Time after which a limit lapses that the server does not name again.
         duration limitLifetime;
+        std::function<void(connection_event)> onConnectionEvent;
     };
 
     backend_server(environment env, backend_record record, std::string healthCheckPath,
@@ -162,7 +175,8 @@
     slot *idleSlot(const attempt_spec &spec) const;
     slot *idleSlot(bool proven) const;
     bool isProven(const slot &s) const;
-    slot &open();
+    slot &open(connection_event reason);
+    void report(connection_event event) const;
     /// Closes an idle connection that \p spec excludes if no further one may be opened.
     void makeRoomFor(const attempt_spec &spec);
     void openIfNeeded();
--- a/include/peridotwheel/support/event_loop.h
+++ b/include/peridotwheel/support/event_loop.h
@@ -48,6 +48,8 @@
 
     virtual time_point now() const = 0;
     virtual wall_time wallNow() const = 0;
+    /// Returns the processor time that this process has used since its start.
+    virtual duration processorTime() const = 0;
     /// Calls \p fn once, \p delay from now, unless the returned timer is destroyed before.
     virtual timer schedule(duration delay, task fn) = 0;
     /// Calls \p fn on the loop's thread, after the current callback. The only member that other
--- a/include/peridotwheel/support/libevent_loop.h
+++ b/include/peridotwheel/support/libevent_loop.h
@@ -18,6 +18,7 @@
 
     time_point now() const override;
     wall_time wallNow() const override;
+    duration processorTime() const override;
     timer schedule(duration delay, task fn) override;
     void post(task fn) override;
 
--- a/include/peridotwheel/support/manual_loop.h
+++ b/include/peridotwheel/support/manual_loop.h
@@ -14,6 +14,8 @@
 public:
     time_point now() const override { return m_now; }
     wall_time wallNow() const override;
+    /// Time in tests passes without work.
+    duration processorTime() const override { return {}; }
     timer schedule(duration delay, task fn) override;
     void post(task fn) override { m_posted.push_back(std::move(fn)); }
 
--- a/lib/gateway/backend_server.cpp
+++ b/lib/gateway/backend_server.cpp
@@ -166,8 +166,15 @@
     return best;
 }
 
-backend_server::slot &backend_server::open()
+void backend_server::report(connection_event event) const
 {
+    if (m_env.onConnectionEvent)
+        m_env.onConnectionEvent(event);
+}
+
+backend_server::slot &backend_server::open(connection_event reason)
+{
+    report(reason);
     m_slots.push_back(std::make_unique<slot>());
     slot &s = *m_slots.back();
     s.number = connection_number(m_nextConnection++);
@@ -201,7 +208,7 @@
     if (m_limit.delay(0, m_env.loop.now()) > duration::zero())
         needed = idleSlot(true) != nullptr ? 0 : std::min<std::size_t>(needed, 1);
     while (m_slots.size() < m_maxConnections && opening < needed) {
-        open();
+        open(connection_event::OpenedForAttempt);
         ++opening;
     }
 }
@@ -221,7 +228,9 @@
     const time_point now = m_env.loop.now();
     // It is normal for a server to close an idle connection that it had accepted.
     const bool wasAccepted = s.isIdle() && now - s.openedAt >= acceptedAfter;
-    if (!s.hasReplied && !wasAccepted) {
+    const bool wasRefused = !s.hasReplied && !wasAccepted;
+    report(wasRefused ? connection_event::Refused : connection_event::ClosedByServer);
+    if (wasRefused) {
         const bool wasSuspect = m_health.isSuspect();
         backOffConnects();
         if (!s.isOpen && !isConnected())
@@ -253,6 +262,7 @@
     m_endedUnused = false;
     m_waiting.emplace(wait_key(a->spec.rank, a->spec.deadline, a->number), a);
     dispatch();
+    a->hasWaited = !a->isSent;
     return a;
 }
 
@@ -458,6 +468,7 @@
         reportSuspicionChange(wasSuspect);
     }
     for (slot *s : stale) {
+        report(connection_event::ClosedUnused);
         noteEndOfIdle(*s);
         remove(*s);
     }
@@ -475,7 +486,7 @@
     slot *s = idleSlot(false);
     if (s == nullptr) {
         if (m_slots.size() < m_maxConnections)
-            open();
+            open(connection_event::OpenedForHealthCheck);
         return;
     }
     s->isChecking = true;
@@ -563,7 +574,7 @@
         return;
     const bool isNeeded = m_isOpenedInAdvance || !m_endedUnused;
     if (m_slots.empty() && std::min(m_standing, m_maxConnections) > 0 && isNeeded)
-        open();
+        open(connection_event::OpenedInAdvance);
     dispatch();
 }
 
--- a/lib/gateway/gateway_instance.cpp
+++ b/lib/gateway/gateway_instance.cpp
@@ -183,6 +183,8 @@
             .set(static_cast<std::uint64_t>(1000 * m_gateway.lowestAdmissionShare()));
     m_counters.at("gateway.server_reply_bytes").set(m_serverReplies->bytes());
     m_counters.at("gateway.client_connections").set(m_callers.openConnections());
+    m_counters.at("process.processor_ms")
+            .set(static_cast<std::uint64_t>(toMilliseconds(m_loop.processorTime())));
     m_counters.at("log.lines_left_out").set(m_log.droppedLines());
     client.reply({200, {{"Content-Type", "text/plain"}}, metricsText(m_counters)});
 }
--- a/lib/gateway/gateway_state.cpp
+++ b/lib/gateway/gateway_state.cpp
@@ -49,9 +49,33 @@
     , secondAttempts(set.at("gateway.second_attempts"))
     , repeatedAttempts(set.at("gateway.repeated_attempts"))
     , budgetDenied(set.at("gateway.extra_attempts_denied"))
+    , openedForAttempts(set.at("gateway.connections_opened.attempts"))
+    , openedInAdvance(set.at("gateway.connections_opened.in_advance"))
+    , openedForHealthChecks(set.at("gateway.connections_opened.health_checks"))
+    , connectionsRefused(set.at("gateway.connections_refused"))
+    , connectionsClosedByServer(set.at("gateway.connections_closed.by_server"))
+    , connectionsClosedUnused(set.at("gateway.connections_closed.unused"))
 {
 }
 
+void gateway_counters::onConnection(connection_event event) const
+{
+    switch (event) {
+    case connection_event::OpenedForAttempt:
+        return openedForAttempts.add();
+    case connection_event::OpenedInAdvance:
+        return openedInAdvance.add();
+    case connection_event::OpenedForHealthCheck:
+        return openedForHealthChecks.add();
+    case connection_event::Refused:
+        return connectionsRefused.add();
+    case connection_event::ClosedByServer:
+        return connectionsClosedByServer.add();
+    case connection_event::ClosedUnused:
+        return connectionsClosedUnused.add();
+    }
+}
+
 gateway_state::gateway_state(event_loop &l, client_connector &c, const wire_dialect &d,
                              counter_set &set, decision_log &lg, gateway_options o)
     : loop(l)
@@ -60,13 +84,14 @@
     , counters(set)
     , count(set)
     , latency(set)
+    , loopDelay(set, "process.loop_delay.")
     , log(lg)
     , options(std::move(o))
     , share(options.self, l.now(), connection_share::defaultAbsenceHold, options.dataCentre,
             [this](const data_centre_id &a, const data_centre_id &b) { return nearness(a, b); })
     , random(std::hash<std::string>()(options.self.value()))
     , m_startedAt(l.now())
-    , m_lastTick(m_startedAt)
+    , m_lastTick(m_startedAt - tickInterval)
 {
     tick();
 }
@@ -128,7 +153,8 @@
                                     [this](const backend_record &of, request_rate limit) {
                                         return ownShareOfLimit(of, limit);
                                     },
-                                    scaled(minLimitLifetime, 1 + random.fraction())};
+                                    scaled(minLimitLifetime, 1 + random.fraction()),
+                                    [this](connection_event event) { count.onConnection(event); }};
     auto server = std::make_shared<backend_server>(std::move(env), record,
                                                    healthCheckPathOf(record.service),
                                                    assumedRoundTrip(record.dataCentre));
@@ -308,6 +334,7 @@
 void gateway_state::tick()
 {
     const time_point now = loop.now();
+    loopDelay.add(now - m_lastTick - tickInterval);
     const bool stalled = now - m_lastTick > tickInterval + tickDelayOfStall;
     for (const auto &[name, group] : groups)
         updateStanding(*group);
--- a/lib/gateway/gateway_state.h
+++ b/lib/gateway/gateway_state.h
@@ -44,6 +44,7 @@
 struct gateway_counters
 {
     explicit gateway_counters(counter_set &set);
+    void onConnection(connection_event event) const;
 
     counter &requests;
     counter &answered;
@@ -56,6 +57,12 @@
     counter &secondAttempts;
     counter &repeatedAttempts;
     counter &budgetDenied;
+    counter &openedForAttempts;
+    counter &openedInAdvance;
+    counter &openedForHealthChecks;
+    counter &connectionsRefused;
+    counter &connectionsClosedByServer;
+    counter &connectionsClosedUnused;
 };
 
 /// State shared by all requests of one gateway.
@@ -91,6 +98,7 @@
     counter_set &counters;
     gateway_counters count;
     latency_counters latency;
+    duration_histogram loopDelay;
     decision_log &log;
     gateway_options options;
     route_table_ptr routes;
--- a/lib/gateway/request_trace.cpp
+++ b/lib/gateway/request_trace.cpp
@@ -1,5 +1,6 @@
 #include "request_trace.h"
 
+#include <algorithm>
 #include <functional>
 
 namespace peridotwheel {
@@ -17,7 +18,13 @@
     m_entries.push_back({now - m_arrival, what, service, server, value});
 }
 
-void request_trace::write(decision_log &log, time_point now, const route &r,
+void request_trace::addSent(time_point now, bool waitedForConnection)
+{
+    m_lastSent = std::max(m_lastSent, now - m_arrival);
+    m_waitedForConnection += waitedForConnection ? 1 : 0;
+}
+
+void request_trace::write(decision_log &log, time_point now, duration processorTime, const route &r,
                           configuration_version version, const char *outcome,
                           bool bypassSampling) const
 {
@@ -38,7 +45,10 @@
             .add("rank", static_cast<std::int64_t>(r.rank.value()))
             .add("outcome", outcome)
             .addMs("target_ms", r.target)
-            .addMs("took_ms", now - m_arrival);
+            .addMs("took_ms", now - m_arrival)
+            .addMs("last_sent_ms", m_lastSent)
+            .add("waited_for_connection", static_cast<std::int64_t>(m_waitedForConnection))
+            .addMs("processor_ms", processorTime - m_processorTimeAtArrival);
 }
 
 } // namespace peridotwheel
--- a/lib/gateway/request_trace.h
+++ b/lib/gateway/request_trace.h
@@ -15,9 +15,11 @@
 class request_trace
 {
 public:
-    request_trace(request_id id, time_point arrival)
+    /// \p processorTime is that of the process at \p arrival.
+    request_trace(request_id id, time_point arrival, duration processorTime)
         : m_id(std::move(id))
         , m_arrival(arrival)
+        , m_processorTimeAtArrival(processorTime)
     {
     }
 
@@ -25,8 +27,11 @@
     /// be empty. \p value is in milliseconds, or a number whose meaning depends on \p what.
     void add(time_point now, const char *what, const std::string &service,
              const std::string &server, double value = 0);
-    void write(decision_log &log, time_point now, const route &r, configuration_version version,
-               const char *outcome, bool bypassSampling) const;
+    /// Records that an attempt was given to a connection at \p now.
+    void addSent(time_point now, bool waitedForConnection);
+    /// \p processorTime is that of the process at \p now.
+    void write(decision_log &log, time_point now, duration processorTime, const route &r,
+               configuration_version version, const char *outcome, bool bypassSampling) const;
 
 private:
     struct entry
@@ -40,6 +45,10 @@
 
     request_id m_id;
     time_point m_arrival;
+    duration m_processorTimeAtArrival;
+    /// Time from the arrival to the last attempt that was given to a connection.
+    duration m_lastSent{};
+    std::size_t m_waitedForConnection = 0;
     std::vector<entry> m_entries;
 };
 
--- a/lib/gateway/running_request.cpp
+++ b/lib/gateway/running_request.cpp
@@ -26,7 +26,7 @@
     , m_version(version)
     , m_request(std::make_shared<outgoing_request>(state.dialect.prepare(request, terms)))
     , m_client(std::move(client))
-    , m_trace(terms.id, state.loop.now())
+    , m_trace(terms.id, state.loop.now(), state.loop.processorTime())
     , m_timer(state.loop, [this] { onTimer(); })
 {
     const duration timeBudget =
@@ -213,7 +213,8 @@
     m_timer.cancel();
     m_state.count.clientsGone.add();
     m_trace.add(now, "client_gone", "", "");
-    m_trace.write(m_state.log, now, *m_route, m_version, "client_gone", false);
+    m_trace.write(m_state.log, now, m_state.loop.processorTime(), *m_route, m_version,
+                  "client_gone", false);
     // Short work may finish, which keeps the connection usable. Longer work can only be ended by
     // closing its connection.
     for (part &p : m_parts)
--- a/lib/gateway/running_request.h
+++ b/lib/gateway/running_request.h
@@ -103,6 +103,7 @@
     /// Retries a part that has no live attempt left, or gives it up. \p mayHaveRun tells whether
     /// the last attempt may have run.
     void retry(std::size_t index, bool mayHaveRun);
+    void traceSent(const backend_attempt &a);
     bool isFull(const backend_server &server) const;
     /// Takes an extra attempt from the budget; returns false if the budget is used up.
     bool takeExtraAttempt(part &p);
--- a/lib/gateway/running_request_answer.cpp
+++ b/lib/gateway/running_request_answer.cpp
@@ -199,8 +199,11 @@
     m_isOver = true;
     m_timer.cancel();
     reportEnd();
-    for (part &p : m_parts)
+    for (part &p : m_parts) {
+        for (const live_attempt &l : p.live)
+            traceSent(*l.attempt);
         releaseAttempts(p, now + leftoverAttemptTimeout);
+    }
     m_state.running.erase(self);
     constexpr int firstFailure = 300;
     const bool late = now > m_times.targetEnd;
@@ -217,7 +220,8 @@
     const bool isRemarkable = late || reply.status >= firstFailure ||
                               std::any_of(m_parts.begin(), m_parts.end(),
                                           [](const part &p) { return !p.isAnswered; });
-    m_trace.write(m_state.log, now, *m_route, m_version, outcome, isRemarkable);
+    m_trace.write(m_state.log, now, m_state.loop.processorTime(), *m_route, m_version, outcome,
+                  isRemarkable);
     m_client->reply(reply);
 }
 
--- a/lib/gateway/running_request_retry.cpp
+++ b/lib/gateway/running_request_retry.cpp
@@ -110,6 +110,7 @@
     }
     if (p.isAnswered || !server)
         return;
+    traceSent(*a);
     if (a->isSent)
         p.used.push_back({server.get(), a->connection});
     // For an idempotent request a connection that was probably refused counts as not opened, since
@@ -150,6 +151,12 @@
     answerIfDecided();
 }
 
+void running_request::traceSent(const backend_attempt &a)
+{
+    if (a.isSent)
+        m_trace.addSent(a.sentAt, a.hasWaited);
+}
+
 bool running_request::isFull(const backend_server &server) const
 {
     // A server that rejects work although it has no queue is faulty, not full.
--- a/lib/support/libevent_loop.cpp
+++ b/lib/support/libevent_loop.cpp
@@ -2,6 +2,7 @@
 
 #include <cassert>
 #include <csignal>
+#include <ctime>
 #include <event2/event.h>
 #include <event2/thread.h>
 
@@ -95,6 +96,14 @@
     return std::chrono::time_point_cast<milliseconds>(std::chrono::system_clock::now());
 }
 
+duration libevent_loop::processorTime() const
+{
+    timespec used{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+    return std::chrono::duration_cast<duration>(seconds(used.tv_sec) +
+                                                std::chrono::nanoseconds(used.tv_nsec));
+}
+
 timer libevent_loop::schedule(duration delay, task fn)
 {
     return timer(std::make_unique<libevent_timer>(m_base.get(), delay, std::move(fn)));
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -561,3 +561,28 @@
     for (std::uint16_t i = 0; i < 3; ++i)
         EXPECT_EQ(backends.at(firstPort + i).openConnections, 1U) << i;
 }
+
+// A late answer must show whether its attempts were sent late or answered late.
+TEST_F(gateway_requests, logsWhenTheLastAttemptWasSent)
+{
+    warmUp();
+    for (std::size_t r = 0; r < replicas; ++r)
+        shardServer(4, r).behaviour = server_behaviour::Silent;
+    send("/all/", "q");
+    loop.advance(seconds(2));
+    EXPECT_THAT(logText, HasSubstr("event=request_ended request=q"));
+    EXPECT_THAT(logText, HasSubstr(" waited_for_connection=0 "));
+    EXPECT_THAT(logText, testing::ContainsRegex(" last_sent_ms=[1-9]"));
+}
+
+// Connections are dear, so their number is shown by the reason for which they were opened.
+TEST_F(gateway_requests, countsConnectionsByReason)
+{
+    start();
+    EXPECT_GT(counters.at("gateway.connections_opened.in_advance").value(), 0U);
+    EXPECT_EQ(counters.at("gateway.connections_opened.attempts").value(), 0U);
+    for (int i = 0; i < 8; ++i)
+        send("/one/", "q" + std::to_string(i));
+    loop.advance(milliseconds(100));
+    EXPECT_GT(counters.at("gateway.connections_opened.attempts").value(), 0U);
+}
