Do not look at all parts of a query for each reply

Callers: queries over many shards cost an instance more than they should, so that answers of small instances come late.

Cause: each reply counted the parts of its query anew, estimated for each pending part whether its server is silent, and looked for the next second attempt among all parts, so that the cost of a query grew with the square of the number of its shards. Placement also estimated each server three times for each part.

Numbers of answered and given-up parts are now kept, silence is looked at only while the answer depends on it and only up to the first part that is still awaited, second attempts are in a queue by their time, and one estimate serves the first attempt, its alternative and the check of the coverage.

--- a/include/peridotwheel/gateway/answer_policy.h
+++ b/include/peridotwheel/gateway/answer_policy.h
@@ -45,7 +45,8 @@
     std::size_t answered = 0;
     /// Parts that may still answer.
     std::size_t pending = 0;
-    /// Pending parts whose servers are likely unresponsive.
+    /// Pending parts whose servers are likely unresponsive. Matters only if it equals `pending`
+    /// while the answered parts are enough.
     std::size_t unresponsive = 0;
     /// Minimum share of the parts that an answer must contain.
     double minCoverage = 1;
--- a/include/peridotwheel/gateway/placement.h
+++ b/include/peridotwheel/gateway/placement.h
@@ -49,6 +49,13 @@
     bool likelyUnresponsive = false;
 };
 
+/// The best server for an attempt, and the best of the others for a second one.
+struct placement_choice
+{
+    std::optional<placement> best;
+    std::optional<placement> alternative;
+};
+
 /// Returns how long a server with \p roundTrip and service time \p work may be silent in normal
 /// operation. Allows for random variation of the work and for scheduling delays of a busy process.
 duration toleratedSilence(duration roundTrip, duration work);
@@ -60,11 +67,15 @@
 /// a typical server. The index in the result is not set.
 placement estimatePlacement(const placement_candidate &candidate, duration work, time_point now);
 
-/// Returns the usable candidate with the least expected time, or nothing if no candidate is usable
-/// and reachable. A likely unresponsive server is in effect chosen only if all of them are.
+/// Returns the usable and reachable candidates with the least and the next expected time. A likely
+/// unresponsive server is in effect chosen only if all of them are.
 ///
 /// Keeps the latency of each request low although servers may pause, slow down, stop answering,
 /// fail part of their requests, or be far away.
+placement_choice chooseServers(const std::vector<placement_candidate> &candidates, duration work,
+                               time_point now);
+
+/// Returns the best choice of `chooseServers`.
 std::optional<placement> chooseServer(const std::vector<placement_candidate> &candidates,
                                       duration work, time_point now);
 
--- a/lib/gateway/placement.cpp
+++ b/lib/gateway/placement.cpp
@@ -3,6 +3,7 @@
 #include "peridotwheel/gateway/server_health.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace peridotwheel {
 
@@ -76,19 +77,27 @@
     return p;
 }
 
-std::optional<placement> chooseServer(const std::vector<placement_candidate> &candidates,
-                                      duration work, time_point now)
+placement_choice chooseServers(const std::vector<placement_candidate> &candidates, duration work,
+                               time_point now)
 {
-    std::optional<placement> best;
+    placement_choice choice;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         if (!candidates[i].isUsable || !isReachable(candidates[i]))
             continue;
         placement p = estimatePlacement(candidates[i], work, now);
         p.index = i;
-        if (!best || p.expectedTime < best->expectedTime)
-            best = p;
+        if (!choice.best || p.expectedTime < choice.best->expectedTime)
+            choice.alternative = std::exchange(choice.best, p);
+        else if (!choice.alternative || p.expectedTime < choice.alternative->expectedTime)
+            choice.alternative = p;
     }
-    return best;
+    return choice;
+}
+
+std::optional<placement> chooseServer(const std::vector<placement_candidate> &candidates,
+                                      duration work, time_point now)
+{
+    return chooseServers(candidates, work, now).best;
 }
 
 } // namespace peridotwheel
--- a/lib/gateway/running_request.cpp
+++ b/lib/gateway/running_request.cpp
@@ -150,8 +150,8 @@
         refuse(duration::zero(), "no time is left; not run\n");
     } else if (!refuseIfCoverageUnlikely()) {
         for (std::size_t i = 0; i < m_parts.size(); ++i) {
-            if (!m_parts[i].isGivenUp && !sendAttempt(i, attempt_kind::First))
-                m_parts[i].isGivenUp = true;
+            if (!m_parts[i].isGivenUp && !sendAttempt(i, attempt_kind::First, m_parts[i].first))
+                giveUp(m_parts[i]);
         }
     }
     m_isStarting = false;
@@ -161,16 +161,18 @@
 bool running_request::refuseIfCoverageUnlikely()
 {
     const time_point now = m_state.loop.now();
+    std::size_t likelyUnresponsive = 0;
     for (part &p : m_parts) {
-        const auto best = choosePlacement(p, false);
-        p.isGivenUp = !best;
+        p.first = choosePlacement(p, false);
+        const auto &best = p.first.best;
         p.likelyUnresponsive = best && best->likelyUnresponsive;
         const bool tooLong = best && !best->likelyUnresponsive &&
                              now + timeNeeded(*best) > m_times.deadline && !isGather();
         // A part that may not be sent in time would delay the answer to the target for nothing.
         const bool isLimited = best && isGather() && now + best->sendDelay >= m_times.targetEnd;
-        if (tooLong || isLimited)
-            p.isGivenUp = true;
+        if (!best || tooLong || isLimited)
+            giveUp(p);
+        likelyUnresponsive += isPending(p) && p.likelyUnresponsive ? 1 : 0;
         if (p.isGivenUp || p.likelyUnresponsive) {
             const char *event = "servers_silent";
             if (!best)
@@ -184,11 +186,13 @@
         }
     }
     parts_state likely = partsState();
-    likely.answered = likely.pending - likely.unresponsive;
+    likely.answered = likely.pending - likelyUnresponsive;
     if (meetsMinCoverage(likely)) {
         // Attempts at likely unresponsive servers would only delay the answer.
-        for (part &p : m_parts)
-            p.isGivenUp = p.isGivenUp || p.likelyUnresponsive;
+        for (part &p : m_parts) {
+            if (p.likelyUnresponsive)
+                giveUp(p);
+        }
         return false;
     }
     refuse(retryAfter(), "too few servers can be reached; not run, try again\n");
--- a/lib/gateway/running_request.h
+++ b/lib/gateway/running_request.h
@@ -6,9 +6,12 @@
 #include "peridotwheel/support/earliest_timer.h"
 #include "request_trace.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
+#include <queue>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace peridotwheel {
@@ -65,6 +68,8 @@
         /// Whether no further attempt is made and no answer is expected.
         bool isGivenUp = false;
         bool likelyUnresponsive = false;
+        /// Servers for the first attempt.
+        placement_choice first;
         bool wasBudgetDenied = false;
         bool rejectedByFullServer = false;
         /// When to send a second attempt; absent if none is planned.
@@ -76,6 +81,9 @@
         std::optional<http_reply> failure;
     };
 
+    /// Time of a second attempt and index of its part.
+    using due_attempt = std::pair<time_point, std::size_t>;
+
     enum class attempt_kind { First, Second, Retry };
 
     /// Returns whether admission control admits the request; refuses it if not.
@@ -91,12 +99,16 @@
     void limitTo(time_point end);
     /// Returns the time to allow for an answer of the server \p best.
     duration timeNeeded(const placement &best) const;
-    /// Chooses a server for the next attempt; \p allowTried includes servers that were already
-    /// tried.
-    std::optional<placement> choosePlacement(const part &p, bool allowTried) const;
+    /// Chooses servers for the next attempt and a later second one; \p allowTried includes servers
+    /// that were already tried.
+    placement_choice choosePlacement(const part &p, bool allowTried) const;
     /// Sends an attempt for a part. Returns false if no server is available.
     bool sendAttempt(std::size_t index, attempt_kind kind);
-    void scheduleSecondAttempt(part &p, const backend_server &server);
+    bool sendAttempt(std::size_t index, attempt_kind kind, const placement_choice &choice);
+    void scheduleSecondAttempt(std::size_t index, const backend_server &server,
+                               const placement &alternative);
+    void setSecondAttempt(std::size_t index, time_point at);
+    void giveUp(part &p);
     void onResult(std::size_t index, const backend_attempt_ptr &a, attempt_result result);
     void onAnswer(std::size_t index, duration served, attempt_result &result);
     duration sampleWork(const backend_server &server, const backend_attempt &a);
@@ -116,6 +128,11 @@
     /// Answers the request as soon as `decideAnswer` says so, and otherwise arms the timer.
     void answerIfDecided();
     parts_state partsState() const;
+    bool isPending(const part &p) const { return !p.isAnswered && !p.isGivenUp; }
+    /// Returns whether all live attempts of the part are at servers that are likely unresponsive.
+    bool isStuck(const part &p, time_point now) const;
+    /// Returns whether no pending part is likely to be answered.
+    bool isStuck(time_point now) const;
 
     void answerGathered();
     void answerFailure();
@@ -141,6 +158,14 @@
     std::shared_ptr<http_responder> m_client;
     request_times m_times;
     std::vector<part> m_parts;
+    /// Numbers of parts, kept up to date because each reply asks for them.
+    std::size_t m_answered = 0;
+    std::size_t m_givenUp = 0;
+    /// A part that was pending and not stuck when it was last looked at.
+    mutable std::size_t m_awaited = 0;
+    /// Due times of second attempts, earliest first. An entry whose time is no longer that of its
+    /// part is void.
+    std::priority_queue<due_attempt, std::vector<due_attempt>, std::greater<>> m_dueAttempts;
     request_trace m_trace;
     earliest_timer m_timer;
     bool m_isStarting = false;
--- a/lib/gateway/running_request_answer.cpp
+++ b/lib/gateway/running_request_answer.cpp
@@ -21,6 +21,7 @@
 {
     part &p = m_parts[index];
     p.isAnswered = true;
+    ++m_answered;
     p.served = served;
     p.group->advice.onAccepted();
     releaseAttempts(p, m_state.loop.now() + leftoverAttemptTimeout);
@@ -37,30 +38,56 @@
 {
     parts_state s;
     s.total = m_parts.size();
+    s.answered = m_answered;
+    s.pending = m_parts.size() - m_answered - m_givenUp;
     s.minCoverage = isGather() ? m_route->gather->minCoverage : 1.0;
-    const time_point now = m_state.loop.now();
-    for (const part &p : m_parts) {
-        s.answered += p.isAnswered ? 1 : 0;
-        if (p.isAnswered || p.isGivenUp)
-            continue;
-        ++s.pending;
-        const bool stuck = !p.live.empty() &&
-                           std::all_of(p.live.begin(), p.live.end(), [now, this](const auto &l) {
-                               return estimatePlacement(l.server->candidate(),
-                                                        m_state.workOf(*m_route).typical(), now)
-                                       .likelyUnresponsive;
-                           });
-        s.unresponsive += p.live.empty() ? (p.likelyUnresponsive ? 1 : 0) : (stuck ? 1 : 0);
-    }
     return s;
 }
 
+bool running_request::isStuck(const part &p, time_point now) const
+{
+    if (p.live.empty())
+        return p.likelyUnresponsive;
+    return std::all_of(p.live.begin(), p.live.end(), [now, this](const live_attempt &l) {
+        return estimatePlacement(l.server->candidate(), m_state.workOf(*m_route).typical(), now)
+                .likelyUnresponsive;
+    });
+}
+
+bool running_request::isStuck(time_point now) const
+{
+    const auto isAwaited = [&](std::size_t index) {
+        return isPending(m_parts[index]) && !isStuck(m_parts[index], now);
+    };
+    if (isAwaited(m_awaited))
+        return false;
+    for (std::size_t i = 0; i < m_parts.size(); ++i) {
+        if (isAwaited(i)) {
+            m_awaited = i;
+            return false;
+        }
+    }
+    return true;
+}
+
+void running_request::giveUp(part &p)
+{
+    if (!isPending(p))
+        return;
+    p.isGivenUp = true;
+    ++m_givenUp;
+}
+
 void running_request::answerIfDecided()
 {
     if (m_isOver || m_isStarting)
         return;
     const time_point now = m_state.loop.now();
-    switch (decideAnswer(partsState(), m_times, now)) {
+    parts_state parts = partsState();
+    // Looked at only where the decision depends on it, since this is called for each reply.
+    if (meetsMinCoverage(parts) && parts.pending > 0 && now < m_times.targetEnd)
+        parts.unresponsive = isStuck(now) ? parts.pending : 0;
+    switch (decideAnswer(parts, m_times, now)) {
     case answer_decision::Wait:
         armTimer();
         return;
@@ -75,12 +102,15 @@
 
 void running_request::armTimer()
 {
-    time_point next = m_state.loop.now() < m_times.targetEnd ? m_times.targetEnd : m_times.deadline;
-    for (const part &p : m_parts) {
-        if (!p.isAnswered && !p.isGivenUp && p.secondAttemptAt)
-            next = std::min(next, *p.secondAttemptAt);
-    }
-    m_timer.wakeAt(next);
+    const auto isVoid = [this](const due_attempt &due) {
+        const part &p = m_parts[due.second];
+        return !isPending(p) || p.secondAttemptAt != due.first;
+    };
+    while (!m_dueAttempts.empty() && isVoid(m_dueAttempts.top()))
+        m_dueAttempts.pop();
+    const time_point next =
+            m_state.loop.now() < m_times.targetEnd ? m_times.targetEnd : m_times.deadline;
+    m_timer.wakeAt(m_dueAttempts.empty() ? next : std::min(next, m_dueAttempts.top().first));
 }
 
 void running_request::onTimer()
--- a/lib/gateway/running_request_retry.cpp
+++ b/lib/gateway/running_request_retry.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-std::optional<placement> running_request::choosePlacement(const part &p, bool allowTried) const
+placement_choice running_request::choosePlacement(const part &p, bool allowTried) const
 {
     std::vector<placement_candidate> candidates;
     candidates.reserve(p.group->servers.size());
@@ -31,15 +31,26 @@
         c.isUsable = c.isUsable && !isLive && (allowTried || !tried);
         candidates.push_back(c);
     }
-    return chooseServer(candidates, m_state.workOf(*m_route).typical(), m_state.loop.now());
+    return chooseServers(candidates, m_state.workOf(*m_route).typical(), m_state.loop.now());
 }
 
 bool running_request::sendAttempt(std::size_t index, attempt_kind kind)
 {
     part &p = m_parts[index];
-    auto best = choosePlacement(p, false);
-    if (!best && kind == attempt_kind::Retry)
-        best = choosePlacement(p, true);
+    placement_choice choice = choosePlacement(p, false);
+    if (!choice.best && kind == attempt_kind::Retry) {
+        choice = choosePlacement(p, true);
+        // A second attempt goes to a server that has not been tried.
+        choice.alternative.reset();
+    }
+    return sendAttempt(index, kind, choice);
+}
+
+bool running_request::sendAttempt(std::size_t index, attempt_kind kind,
+                                  const placement_choice &choice)
+{
+    part &p = m_parts[index];
+    const auto &best = choice.best;
     if (!best)
         return false;
     const backend_server_ptr server = p.group->servers[best->index];
@@ -74,24 +85,29 @@
     };
     *attemptHolder = server->submit(std::move(spec));
     p.live.push_back({server, *attemptHolder});
-    scheduleSecondAttempt(p, *server);
+    p.secondAttemptAt.reset();
+    if (isIdempotent() && p.live.size() == 1 && choice.alternative)
+        scheduleSecondAttempt(index, *server, *choice.alternative);
     return true;
 }
 
-void running_request::scheduleSecondAttempt(part &p, const backend_server &server)
+void running_request::scheduleSecondAttempt(std::size_t index, const backend_server &server,
+                                            const placement &alternative)
 {
-    p.secondAttemptAt.reset();
-    if (!isIdempotent() || p.live.size() > 1)
-        return;
-    const auto other = choosePlacement(p, false);
-    if (!other || other->likelyUnresponsive)
+    if (alternative.likelyUnresponsive)
         return;
     second_attempt_input input;
     input.sentAt = m_state.loop.now();
     input.work = m_state.workOf(*m_route).typical();
     input.roundTrip = server.health().roundTrip();
-    input.alternativeRoundTrip = std::max(other->expectedTime - input.work, duration::zero());
-    p.secondAttemptAt = secondAttemptTime(input, m_times);
+    input.alternativeRoundTrip = std::max(alternative.expectedTime - input.work, duration::zero());
+    setSecondAttempt(index, secondAttemptTime(input, m_times));
+}
+
+void running_request::setSecondAttempt(std::size_t index, time_point at)
+{
+    m_parts[index].secondAttemptAt = at;
+    m_dueAttempts.emplace(at, index);
 }
 
 void running_request::onResult(std::size_t index, const backend_attempt_ptr &a,
@@ -195,23 +211,25 @@
     const bool isForbidden = mayHaveRun && !isIdempotent();
     const bool isUsedUp =
             p.possibleRuns >= m_route->maxAttempts || p.receivedAttempts >= maxReceivedAttempts;
-    const auto next = choosePlacement(p, p.receivedAttempts > 0);
+    const auto next = choosePlacement(p, p.receivedAttempts > 0).best;
     const time_point now = m_state.loop.now();
     const bool inTime =
             next && !next->likelyUnresponsive && now + next->expectedTime < m_times.deadline;
     if (isForbidden || isUsedUp || !inTime || (p.receivedAttempts > 0 && !takeExtraAttempt(p)) ||
         !sendAttempt(index, attempt_kind::Retry))
-        p.isGivenUp = true;
+        giveUp(p);
 }
 
 void running_request::sendDueSecondAttempts(time_point now)
 {
-    for (std::size_t i = 0; i < m_parts.size(); ++i) {
-        part &p = m_parts[i];
-        if (p.isAnswered || p.isGivenUp || !p.secondAttemptAt || now < *p.secondAttemptAt)
+    while (!m_dueAttempts.empty() && m_dueAttempts.top().first <= now) {
+        const auto [at, index] = m_dueAttempts.top();
+        m_dueAttempts.pop();
+        part &p = m_parts[index];
+        if (!isPending(p) || p.secondAttemptAt != at)
             continue;
         p.secondAttemptAt.reset();
-        sendSecondAttempt(i, now);
+        sendSecondAttempt(index, now);
     }
 }
 
@@ -220,7 +238,7 @@
     part &p = m_parts[index];
     if (p.live.size() != 1)
         return;
-    const auto other = choosePlacement(p, false);
+    const auto other = choosePlacement(p, false).best;
     if (!other || other->likelyUnresponsive || now + other->expectedTime >= m_times.deadline)
         return;
     const live_attempt first = p.live.front();
@@ -229,7 +247,7 @@
         if (first.server->cancelUnsent(first.attempt)) {
             p.live.clear();
             if (!sendAttempt(index, attempt_kind::First))
-                p.isGivenUp = true;
+                giveUp(p);
         }
         return;
     }
@@ -239,7 +257,7 @@
     // While work queues at all shards, a second attempt only delays all other queries.
     const bool isOverloaded = m_admission && m_admission->share() < 1;
     if (isOverloaded || !takeExtraAttempt(p)) {
-        p.secondAttemptAt = now + budgetRetryInterval;
+        setSecondAttempt(index, now + budgetRetryInterval);
         return;
     }
     sendAttempt(index, attempt_kind::Second);
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -578,7 +578,7 @@
 // Connections are dear, so their number is shown by the reason for which they were opened.
 TEST_F(gateway_requests, countsConnectionsByReason)
 {
-    start();
+    warmUp();
     EXPECT_GT(counters.at("gateway.connections_opened.in_advance").value(), 0U);
     EXPECT_EQ(counters.at("gateway.connections_opened.attempts").value(), 0U);
     for (int i = 0; i < 8; ++i)
