Visit servers without attempts four times a second

Callers: an instance of 0.12 cores answers late, on calm seconds too.

Cause: each tick, twenty times a second, visited every server of every shard: it copied the map of servers, estimated each server for the choice of standing connections, looked at all its connections, and went through the list of instances.

Servers with attempts, connections being opened or health checks are maintained at each tick as before; the others, by shard, once in five ticks. A change of servers or shares makes the next tick visit all.

query_cost.ofAnIdleServerIsThatOfAFewVisitsASecond failed before: 167 reads of the clock for each server in an idle second, bound 40.

--- a/include/peridotwheel/gateway/backend_server.h
+++ b/include/peridotwheel/gateway/backend_server.h
@@ -111,6 +111,9 @@
         /// Time after which a limit lapses that the server does not name again.
         duration limitLifetime;
         std::function<void(connection_event)> onConnectionEvent;
+        /// Called when the server needs frequent maintenance, until `endBusyPeriod` returns true:
+        /// it has attempts or opens a connection, or its health is to be checked.
+        std::function<void(backend_server &)> onBusy;
     };
 
     backend_server(environment env, backend_record record, std::string healthCheckPath,
@@ -159,7 +162,8 @@
     void abort(const backend_attempt_ptr &a);
 
     /// Opens missing connections, closes stale ones, ends attempts that are past their deadline,
-    /// and sends health checks while the server is suspect. To be called a few times a second.
+    /// and sends health checks while the server is suspect. To be called a few times a second, and
+    /// more often while the server is busy, since only then are there attempts to end.
     void maintain();
     server_samples takeSamples();
     void setHint(const server_hint &hint);
@@ -167,6 +171,11 @@
     std::size_t connections() const { return m_slots.size(); }
     bool isConnected() const;
     bool isBusy() const;
+    /// Returns true and ends the busy period that `onBusy` reported if the server needs no frequent
+    /// maintenance any more.
+    bool endBusyPeriod();
+    /// Returns whether a busy period has begun and has not ended.
+    bool isInBusyPeriod() const { return m_isInBusyPeriod; }
 
 private:
     struct slot;
@@ -177,6 +186,7 @@
     bool isProven(const slot &s) const;
     slot &open(connection_event reason);
     void report(connection_event event) const;
+    void beginBusyPeriod();
     /// Closes an idle connection that \p spec excludes if no further one may be opened.
     void makeRoomFor(const attempt_spec &spec);
     void openIfNeeded();
@@ -218,6 +228,7 @@
     std::uint32_t m_maxConnections = 1;
     std::uint32_t m_standingShare = 0;
     std::uint32_t m_standing = 0;
+    bool m_isInBusyPeriod = false;
     bool m_isDraining = false;
     bool m_isOpenedInAdvance = true;
     /// Whether the last connection ended unused, and no attempt was submitted since.
--- a/lib/gateway/backend_server.cpp
+++ b/lib/gateway/backend_server.cpp
@@ -172,9 +172,23 @@
         m_env.onConnectionEvent(event);
 }
 
+void backend_server::beginBusyPeriod()
+{
+    if (!std::exchange(m_isInBusyPeriod, true) && m_env.onBusy)
+        m_env.onBusy(*this);
+}
+
+bool backend_server::endBusyPeriod()
+{
+    const bool isChecked = m_health.isSuspect() && !wantsNoRequests();
+    m_isInBusyPeriod = isBusy() || isChecked;
+    return !m_isInBusyPeriod;
+}
+
 backend_server::slot &backend_server::open(connection_event reason)
 {
     report(reason);
+    beginBusyPeriod();
     m_slots.push_back(std::make_unique<slot>());
     slot &s = *m_slots.back();
     s.number = connection_number(m_nextConnection++);
@@ -260,6 +274,7 @@
     auto a = std::make_shared<backend_attempt>(std::move(spec));
     a->number = m_nextNumber++;
     m_endedUnused = false;
+    beginBusyPeriod();
     m_waiting.emplace(wait_key(a->spec.rank, a->spec.deadline, a->number), a);
     dispatch();
     a->hasWaited = !a->isSent;
@@ -490,6 +505,7 @@
         return;
     }
     s->isChecking = true;
+    beginBusyPeriod();
     s->busySince = now;
     s->connection->send(m_env.dialect.healthCheck(m_healthCheckPath, m_record),
                         [this, s](const http_outcome &outcome) { onHealthChecked(*s, outcome); });
@@ -513,6 +529,8 @@
 
 void backend_server::reportSuspicionChange(bool wasSuspect)
 {
+    if (m_health.isSuspect())
+        beginBusyPeriod();
     if (wasSuspect != m_health.isSuspect())
         m_env.onStateChanged(*this, wasSuspect ? "server_answers_again" : "server_suspected");
 }
--- a/lib/gateway/gateway_state.cpp
+++ b/lib/gateway/gateway_state.cpp
@@ -5,12 +5,16 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace peridotwheel {
 
 namespace {
 
 constexpr duration tickInterval = milliseconds(50);
+/// Servers without attempts are maintained once in this many ticks. Visiting all servers of
+/// hundreds of shards at each tick would take most of the processor time of a small instance.
+constexpr unsigned ticksPerRound = 5;
 /// A tick delayed by more than this means that the process was stalled, so servers are not blamed
 /// for the silence in that time.
 constexpr duration tickDelayOfStall = milliseconds(150);
@@ -138,23 +142,25 @@
 
 backend_server_ptr gateway_state::makeServer(const backend_record &record)
 {
-    backend_server::environment env{loop,
-                                    connector,
-                                    dialect,
-                                    [this](const backend_server &server, const char *what) {
-                                        const time_point now = loop.now();
-                                        log.decision(what)
-                                                .add("server", server.record().id.value())
-                                                .add("service", server.record().service.value())
-                                                .addMs("silent_ms", server.health().silentFor(now))
-                                                .add("limit", limitText(server.limit()))
-                                                .addMs("available_in_ms", server.availableIn());
-                                    },
-                                    [this](const backend_record &of, request_rate limit) {
-                                        return ownShareOfLimit(of, limit);
-                                    },
-                                    scaled(minLimitLifetime, 1 + random.fraction()),
-                                    [this](connection_event event) { count.onConnection(event); }};
+    backend_server::environment env{
+            loop,
+            connector,
+            dialect,
+            [this](const backend_server &server, const char *what) {
+                const time_point now = loop.now();
+                log.decision(what)
+                        .add("server", server.record().id.value())
+                        .add("service", server.record().service.value())
+                        .addMs("silent_ms", server.health().silentFor(now))
+                        .add("limit", limitText(server.limit()))
+                        .addMs("available_in_ms", server.availableIn());
+            },
+            [this](const backend_record &of, request_rate limit) {
+                return ownShareOfLimit(of, limit);
+            },
+            scaled(minLimitLifetime, 1 + random.fraction()),
+            [this](connection_event event) { count.onConnection(event); },
+            [this](backend_server &server) { busyServers.push_back(server.shared_from_this()); }};
     auto server = std::make_shared<backend_server>(std::move(env), record,
                                                    healthCheckPathOf(record.service),
                                                    assumedRoundTrip(record.dataCentre));
@@ -200,6 +206,7 @@
         server = makeServer(record);
         updateShare(*server);
         groupOf(record.service)->servers.push_back(server);
+        m_isFullRoundDue = true;
         log.state("server_joined")
                 .add("server", id.value())
                 .add("service", record.service.value())
@@ -224,6 +231,7 @@
 {
     for (const auto &[id, server] : servers)
         updateShare(*server);
+    m_isFullRoundDue = true;
 }
 
 void gateway_state::updateShare(backend_server &server) const
@@ -331,24 +339,66 @@
     }
 }
 
+void gateway_state::maintainGroup(const service_group &group)
+{
+    updateStanding(group);
+    // Maintenance may end attempts, whose callbacks may change the list.
+    const auto all = group.servers;
+    for (const auto &server : all) {
+        if (!server->isInBusyPeriod())
+            server->maintain();
+    }
+}
+
+void gateway_state::maintainDueGroups()
+{
+    // Each tick takes the next groups, so that the work is spread evenly over a round.
+    std::size_t due = groups.size();
+    if (!std::exchange(m_isFullRoundDue, false))
+        due = (groups.size() + ticksPerRound - 1) / ticksPerRound;
+    auto it = groups.upper_bound(m_lastMaintained);
+    for (; due > 0; --due) {
+        if (it == groups.end())
+            it = groups.begin();
+        const service_group_ptr group = it->second;
+        m_lastMaintained = it->first;
+        ++it;
+        maintainGroup(*group);
+    }
+}
+
+void gateway_state::maintainBusyServers()
+{
+    const auto busy = busyServers;
+    for (const auto &server : busy)
+        server->maintain();
+    busyServers.erase(std::remove_if(busyServers.begin(), busyServers.end(),
+                                     [](const auto &server) { return server->endBusyPeriod(); }),
+                      busyServers.end());
+}
+
+void gateway_state::updateMembership(time_point now)
+{
+    const bool wasDiscoveryOver = m_lastTick - m_startedAt >= memberDiscoveryTimeout;
+    const bool isDiscoveryOver = now - m_startedAt >= memberDiscoveryTimeout;
+    const bool isEndOfDiscovery = members.empty() && isDiscoveryOver && !wasDiscoveryOver;
+    const bool isRoundOver = ++m_ticks % ticksPerRound == 0;
+    const bool haveSharesChanged = isRoundOver && share.updateMembers(members, now);
+    if (haveSharesChanged || isEndOfDiscovery)
+        updateShares();
+}
+
 void gateway_state::tick()
 {
     const time_point now = loop.now();
     loopDelay.add(now - m_lastTick - tickInterval);
-    const bool stalled = now - m_lastTick > tickInterval + tickDelayOfStall;
-    for (const auto &[name, group] : groups)
-        updateStanding(*group);
-    const auto all = servers;
-    for (const auto &[id, server] : all) {
-        if (stalled)
+    if (now - m_lastTick > tickInterval + tickDelayOfStall) {
+        for (const auto &[id, server] : servers)
             server->noteLocalStall(now);
-        server->maintain();
     }
-    const bool wasDiscoveryOver = m_lastTick - m_startedAt >= memberDiscoveryTimeout;
-    const bool isDiscoveryOver = now - m_startedAt >= memberDiscoveryTimeout;
-    if (share.updateMembers(members, now) ||
-        (members.empty() && isDiscoveryOver && !wasDiscoveryOver))
-        updateShares();
+    maintainDueGroups();
+    maintainBusyServers();
+    updateMembership(now);
     m_lastTick = now;
     for (const auto &request : running)
         request->reportProgress();
--- a/lib/gateway/gateway_state.h
+++ b/lib/gateway/gateway_state.h
@@ -110,6 +110,8 @@
     std::map<server_id, backend_server_ptr> servers;
     /// Servers that left the view and may still have attempts in flight.
     std::vector<backend_server_ptr> retired;
+    /// Servers that need maintenance at each tick.
+    std::vector<backend_server_ptr> busyServers;
     std::map<route_name, work_estimate> work;
     std::map<route_name, weighted_round_robin> rotations;
     /// Keyed by the first shard, so that routes over the same shards have one admission share in
@@ -137,12 +139,22 @@
     /// all instances add up to at most 1.
     double ownShareOfLimit(const backend_record &server, request_rate limit) const;
     void updateStanding(const service_group &group) const;
+    /// Maintains the servers of the group that are not busy.
+    void maintainGroup(const service_group &group);
+    void maintainDueGroups();
+    void maintainBusyServers();
+    void updateMembership(time_point now);
     void logAdmissions();
     void logOpenAdmission(const service_name &shard, const char *reason);
 
     std::uint64_t m_nextQuery = 1;
     time_point m_startedAt;
     time_point m_lastTick;
+    unsigned m_ticks = 0;
+    /// The group that was maintained last; a round goes by the order of names.
+    service_name m_lastMaintained;
+    /// Whether the next tick maintains all groups, since servers or shares have changed.
+    bool m_isFullRoundDue = true;
     timer m_timer;
 };
 
--- a/unittests/gateway/query_cost_test.cpp
+++ b/unittests/gateway/query_cost_test.cpp
@@ -113,6 +113,14 @@
         return static_cast<double>(both - idle) / static_cast<double>(m_shards);
     }
 
+    /// Returns how often the clock is read in a second without queries for each server.
+    double readsPerIdleServer()
+    {
+        const std::uint64_t atStart = m_counting.reads;
+        m_loop.advance(seconds(1));
+        return static_cast<double>(m_counting.reads - atStart) / static_cast<double>(3 * m_shards);
+    }
+
 private:
     static gateway_options options()
     {
@@ -150,3 +158,14 @@
     RecordProperty("reads_225", std::to_string(many));
     EXPECT_LE(many, 1.2 * few) << few << " reads of the clock for each of 25 parts";
 }
+
+// An instance that visits all servers at each tick spends most of a small processor share on
+// servers that it does not use.
+TEST(query_cost, ofAnIdleServerIsThatOfAFewVisitsASecond)
+{
+    constexpr double visitsPerSecond = 4;
+    constexpr double readsPerVisit = 10;
+    wide_gateway wide(225);
+    wide.readsPerPart();
+    EXPECT_LE(wide.readsPerIdleServer(), visitsPerSecond * readsPerVisit);
+}
