Answer a query before its story is logged

Cause: the story of a late or partial query is one line for each attempt, hundreds for a query over all shards. It was written out before the answer was sent, at the very end of the target, on instances of 0.12 cores.

The answer is sent first; progress reports, counters and the story follow.

gateway_requests.answersBeforeItLogsTheStory failed before.

--- a/lib/gateway/running_request_answer.cpp
+++ b/lib/gateway/running_request_answer.cpp
@@ -228,31 +228,37 @@
     const time_point now = m_state.loop.now();
     m_isOver = true;
     m_timer.cancel();
-    reportEnd();
     for (part &p : m_parts) {
         for (const live_attempt &l : p.live)
             traceSent(*l.attempt);
         releaseAttempts(p, now + leftoverAttemptTimeout);
     }
+    m_client->reply(reply);
+    // The caller does not wait for what follows, which takes milliseconds on a small instance.
     m_state.running.erase(self);
+    reportEnd();
+    recordOutcome(reply.status, outcome, now);
+}
+
+void running_request::recordOutcome(int status, const char *outcome, time_point at)
+{
     constexpr int firstFailure = 300;
-    const bool late = now > m_times.targetEnd;
-    if (reply.status < firstFailure) {
+    const bool late = at > m_times.targetEnd;
+    if (status < firstFailure) {
         m_state.count.answered.add();
-        m_state.latency.add(m_route->rank, now - m_times.arrival);
+        m_state.latency.add(m_route->rank, at - m_times.arrival);
         if (late)
             m_state.count.late.add();
     }
     for (const part &p : m_parts) {
         if (!p.isAnswered)
-            m_trace.add(now, "part_missing", p.group->name.value(), "", p.possibleRuns);
+            m_trace.add(at, "part_missing", p.group->name.value(), "", p.possibleRuns);
     }
-    const bool isRemarkable = late || reply.status >= firstFailure ||
+    const bool isRemarkable = late || status >= firstFailure ||
                               std::any_of(m_parts.begin(), m_parts.end(),
                                           [](const part &p) { return !p.isAnswered; });
-    m_trace.write(m_state.log, now, m_state.loop.processorTime(), *m_route, m_version, outcome,
+    m_trace.write(m_state.log, at, m_state.loop.processorTime(), *m_route, m_version, outcome,
                   isRemarkable);
-    m_client->reply(reply);
 }
 
 } // namespace peridotwheel
--- a/unittests/gateway/fake_backends.h
+++ b/unittests/gateway/fake_backends.h
@@ -99,7 +99,12 @@
 class fake_client : public http_responder
 {
 public:
-    void reply(const http_reply &r) override { replies.push_back(r); }
+    void reply(const http_reply &r) override
+    {
+        replies.push_back(r);
+        if (onReply)
+            onReply();
+    }
     void onClientDisconnected(std::function<void()> hook) override
     {
         onDisconnect = std::move(hook);
@@ -108,6 +113,7 @@
 
     std::vector<http_reply> replies;
     std::function<void()> onDisconnect;
+    std::function<void()> onReply;
 };
 
 } // namespace peridotwheel
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -586,3 +586,22 @@
     loop.advance(milliseconds(100));
     EXPECT_GT(counters.at("gateway.connections_opened.attempts").value(), 0U);
 }
+
+// The story of a query over hundreds of shards takes milliseconds to write on a small instance, by
+// which its answer would miss the target.
+TEST_F(gateway_requests, answersBeforeItLogsTheStory)
+{
+    warmUp();
+    for (std::size_t r = 0; r < replicas; ++r)
+        shardServer(4, r).behaviour = server_behaviour::Silent;
+    const auto client = send("/all/", "q");
+    std::string textAtReply;
+    client->onReply = [&] {
+        log.flush();
+        textAtReply = logText;
+    };
+    loop.advance(seconds(2));
+    EXPECT_EQ(statusOf(client), 200);
+    EXPECT_THAT(textAtReply, testing::Not(HasSubstr(" request=q ")));
+    EXPECT_THAT(logText, HasSubstr("event=request_ended request=q "));
+}
