Answer earlier by the time that answers take to leave the instance

Callers: queries that wait for a missing part until the target arrive just after it.

Cause: the margin before the target was a constant that allowed for the way to the caller. It did not allow for what the instance itself needs: the timer that fires late on a busy processor, the merge of hundreds of parts, and the answer of some 8 KB on a link of 12 to 20 Mbit/s. With 225 shards, of which ten pause at any time, waiting until the target is the rule.

Each route now measures by how much answers that were due at the target left the instance later, and plans them earlier by that lead (at most 40 ms, half of the target with the margin).

slow_link.answersEarlierByTheTimeThatAnswersTakeToLeave fails with a lead that stays zero: 165 ms, bound 138 ms.

--- a/include/peridotwheel/gateway/gateway.h
+++ b/include/peridotwheel/gateway/gateway.h
@@ -30,8 +30,11 @@
     std::map<data_centre_id, region_id> regions;
     extra_attempt_limits extraAttempts;
     /// Answers are sent this long before the target or the deadline ends, to leave time for the way
-    /// to the caller and for the caller's new connection before its request.
+    /// to the caller and for the caller's new connection before its request. The delay within this
+    /// instance is measured and added.
     duration answerMargin = milliseconds(14);
+    /// Bandwidth of this instance's link.
+    byte_rate link = byte_rate::fromMegabits(100);
     /// Limit on concurrent requests. One over tens of shards takes some 20 KB, and the smallest
     /// instances have 160 MB.
     std::size_t maxConcurrentRequests = 2048;
--- a/include/peridotwheel/support/units.h
+++ b/include/peridotwheel/support/units.h
@@ -57,6 +57,11 @@
     constexpr double bytesPerSecond() const { return m_bytesPerSecond; }
     /// Returns the number of bytes transferred in \p d.
     double bytesIn(duration d) const { return m_bytesPerSecond * toMilliseconds(d) / 1000.0; }
+    /// Returns the time to transfer \p bytes.
+    duration timeFor(std::size_t bytes) const
+    {
+        return fromMilliseconds(1000.0 * static_cast<double>(bytes) / m_bytesPerSecond);
+    }
 
 private:
     double m_bytesPerSecond;
--- a/lib/gateway/gateway_instance.cpp
+++ b/lib/gateway/gateway_instance.cpp
@@ -34,6 +34,7 @@
     o.dataCentre = s.dataCentre;
     o.regions = s.regions;
     o.extraAttempts = s.extraAttempts;
+    o.link = s.link;
     return o;
 }
 
--- a/lib/gateway/gateway_state.h
+++ b/lib/gateway/gateway_state.h
@@ -2,6 +2,7 @@
 #define PERIDOTWHEEL_LIB_GATEWAY_GATEWAY_STATE_H
 
 #include "admission_share.h"
+#include "answer_lead.h"
 #include "latency_counters.h"
 #include "peridotwheel/counters/counter_set.h"
 #include "peridotwheel/gateway/backend_server.h"
@@ -85,6 +86,7 @@
     void tick();
     /// Returns the estimate of how long a request of this route works at a usual server.
     work_estimate &workOf(const route &r) { return work[r.name]; }
+    answer_lead &answerLeadOf(const route &r) { return answerLeads[r.name]; }
     backend_server_ptr makeServer(const backend_record &record);
     /// Returns the admission share of the shards of a gather; null for other routes.
     std::shared_ptr<admission_share> admissionOf(const route &r) const;
@@ -113,6 +115,7 @@
     /// Servers that need maintenance at each tick.
     std::vector<backend_server_ptr> busyServers;
     std::map<route_name, work_estimate> work;
+    std::map<route_name, answer_lead> answerLeads;
     std::map<route_name, weighted_round_robin> rotations;
     /// Keyed by the first shard, so that routes over the same shards have one admission share in
     /// common. Queries that still run after their shards were replaced hold the share that admitted
--- a/lib/gateway/running_request.cpp
+++ b/lib/gateway/running_request.cpp
@@ -34,8 +34,8 @@
     const duration margin = std::min(m_state.options.answerMargin, timeBudget / marginDivisor);
     m_times.arrival = m_state.loop.now();
     m_times.deadline = m_times.arrival + timeBudget - margin;
-    const duration target =
-            m_route->target - std::min(m_state.options.answerMargin, m_route->target / 2);
+    const duration lead = m_state.options.answerMargin + m_state.answerLeadOf(*m_route).lead();
+    const duration target = m_route->target - std::min(lead, m_route->target / 2);
     m_times.targetEnd = std::min(m_times.arrival + target, m_times.deadline);
     if (m_state.finishBy)
         limitTo(*m_state.finishBy);
--- a/lib/gateway/running_request.h
+++ b/lib/gateway/running_request.h
@@ -170,6 +170,8 @@
     std::priority_queue<due_attempt, std::vector<due_attempt>, std::greater<>> m_dueAttempts;
     request_trace m_trace;
     earliest_timer m_timer;
+    /// Whether enough parts were answered before the end of the target.
+    bool m_isWaitingForTargetEnd = false;
     bool m_isStarting = false;
     bool m_isOver = false;
 };
--- a/lib/gateway/running_request_answer.cpp
+++ b/lib/gateway/running_request_answer.cpp
@@ -15,6 +15,14 @@
 /// callers do not all return at once.
 constexpr double availabilityJitter = 0.2;
 
+std::size_t sizeOf(const http_reply &reply)
+{
+    std::size_t size = reply.body.size();
+    for (const auto &[name, value] : reply.headers)
+        size += name.size() + value.size();
+    return size;
+}
+
 } // namespace
 
 void running_request::onAnswer(std::size_t index, duration served, attempt_result &result)
@@ -84,6 +92,8 @@
         return;
     const time_point now = m_state.loop.now();
     parts_state parts = partsState();
+    m_isWaitingForTargetEnd =
+            m_isWaitingForTargetEnd || (meetsMinCoverage(parts) && now < m_times.targetEnd);
     // Looked at only where the decision depends on it, since this is called for each reply.
     if (meetsMinCoverage(parts) && parts.pending > 0 && now < m_times.targetEnd)
         parts.unresponsive = isStuck(now) ? parts.pending : 0;
@@ -234,6 +244,11 @@
         releaseAttempts(p, now + leftoverAttemptTimeout);
     }
     m_client->reply(reply);
+    // An answer that had enough parts before the end of the target was due exactly then.
+    if (m_isWaitingForTargetEnd && now >= m_times.targetEnd) {
+        const duration delay = m_state.loop.now() - m_times.targetEnd;
+        m_state.answerLeadOf(*m_route).add(delay + m_state.options.link.timeFor(sizeOf(reply)));
+    }
     // The caller does not wait for what follows, which takes milliseconds on a small instance.
     m_state.running.erase(self);
     reportEnd();
--- a/unittests/gateway/gateway_fixture.cpp
+++ b/unittests/gateway/gateway_fixture.cpp
@@ -17,7 +17,9 @@
     return r;
 }
 
-gateway_options fixtureOptions()
+} // namespace
+
+gateway_options gateway_fixture::defaultOptions()
 {
     gateway_options o;
     o.self = instance_id("self");
@@ -27,15 +29,13 @@
     return o;
 }
 
-} // namespace
-
-gateway_fixture::gateway_fixture()
+gateway_fixture::gateway_fixture(const gateway_options &options)
     : log(loop, "test",
           [this](std::string_view text) {
               logText += text;
               return text.size();
           })
-    , gate(loop, backends, dialect, counters, log, fixtureOptions())
+    , gate(loop, backends, dialect, counters, log, options)
 {
     const char *const dataCentres[] = {"near", "far", "farther"};
     for (std::size_t s = 0; s < shardCount; ++s) {
--- a/unittests/gateway/gateway_fixture.h
+++ b/unittests/gateway/gateway_fixture.h
@@ -22,7 +22,8 @@
     static constexpr std::size_t shardCount = 5;
     static constexpr std::size_t replicas = 3;
 
-    gateway_fixture();
+    explicit gateway_fixture(const gateway_options &options = defaultOptions());
+    static gateway_options defaultOptions();
 
     /// Port of replica \p replica of shard \p shard; replica 0 is near.
     static std::uint16_t port(std::size_t shard, std::size_t replica)
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -605,3 +605,61 @@
     EXPECT_THAT(textAtReply, testing::Not(HasSubstr(" request=q ")));
     EXPECT_THAT(logText, HasSubstr("event=request_ended request=q "));
 }
+
+namespace {
+
+/// A gateway whose answers take longer to send than the margin allows for.
+class slow_link : public gateway_fixture
+{
+protected:
+    slow_link()
+        : gateway_fixture(options())
+    {
+    }
+
+    static gateway_options options()
+    {
+        gateway_options o = defaultOptions();
+        o.link = byte_rate(bytesPerSecond);
+        return o;
+    }
+
+    /// Sends a query that is answered without one shard; returns the time at which its answer has
+    /// left this instance.
+    duration timeOfPartialAnswer(const std::string &id)
+    {
+        const time_point sentAt = loop.now();
+        duration took{};
+        const auto client = send("/all/", id);
+        client->onReply = [&] {
+            std::size_t bytes = client->replies.front().body.size();
+            for (const auto &[name, value] : client->replies.front().headers)
+                bytes += name.size() + value.size();
+            took = loop.now() - sentAt +
+                   fromMilliseconds(1000.0 * static_cast<double>(bytes) / bytesPerSecond);
+        };
+        loop.advance(seconds(1));
+        EXPECT_EQ(statusOf(client), 200);
+        EXPECT_EQ(missingIn(client), "1");
+        return took;
+    }
+
+    static constexpr double bytesPerSecond = 4000;
+};
+
+} // namespace
+
+// Answers that wait for a missing shard until the target must not miss it by the time that this
+// instance needs to send them.
+TEST_F(slow_link, answersEarlierByTheTimeThatAnswersTakeToLeave)
+{
+    warmUp();
+    // Too slow for the target, but not silent.
+    for (std::size_t r = 0; r < replicas; ++r)
+        shardServer(4, r).work = milliseconds(300);
+    for (int i = 0; i < 30; ++i)
+        timeOfPartialAnswer("q" + std::to_string(i));
+    constexpr duration target = milliseconds(150);
+    EXPECT_LE(timeOfPartialAnswer("last"),
+              target - defaultOptions().answerMargin + milliseconds(2));
+}
