Look up the proximity of instances once for each data centre

Callers: at each change of an instance or of the configuration, all instances stand still while they compute their shares of the servers' connections, so that their queries are late.

Cause: for each server the proximity and the weight of every instance were computed, with a look-up of both data centres by name: 295 instances times 675 servers or more.

Instances are now grouped by data centre; only equally near ones are compared by weight, and counting ends once the limit is reached.

connection_share.looksUpTheProximityOnceForEachDataCentre failed before: 296 look-ups, bound 7. The properties of shares hold as before.

--- a/include/peridotwheel/limits/connection_share.h
+++ b/include/peridotwheel/limits/connection_share.h
@@ -56,6 +56,11 @@
 
     preference preferenceOf(const instance_id &id, const data_centre_id &dataCentre,
                             const server_id &server, const data_centre_id &serverDataCentre) const;
+    /// Returns whether fewer than \p limit instances are preferred to this one for a connection to
+    /// \p server. Nearer instances are preferred unless \p serverDataCentre is empty.
+    bool isAmongPreferred(std::uint32_t limit, const server_id &server,
+                          const data_centre_id &serverDataCentre) const;
+    void groupByDataCentre();
 
     instance_id m_self;
     duration m_absenceHold;
@@ -65,6 +70,9 @@
     /// Without it, a new instance with an empty view would take every connection.
     bool m_viewConfirmed = false;
     std::map<instance_id, data_centre_id> m_countedInstances;
+    /// The counted instances by data centre. Shares of all servers are computed anew when an
+    /// instance comes or goes, so that proximity is looked up once for each data centre.
+    std::map<data_centre_id, std::vector<instance_id>> m_byDataCentre;
     std::map<instance_id, time_point> m_absentSince;
 };
 
--- a/lib/limits/connection_share.cpp
+++ b/lib/limits/connection_share.cpp
@@ -19,6 +19,14 @@
     , m_startedAt(now)
 {
     m_countedInstances.emplace(m_self, dataCentre);
+    groupByDataCentre();
+}
+
+void connection_share::groupByDataCentre()
+{
+    m_byDataCentre.clear();
+    for (const auto &[id, dataCentre] : m_countedInstances)
+        m_byDataCentre[dataCentre].push_back(id);
 }
 
 bool connection_share::updateMembers(const member_map &members, time_point now)
@@ -50,6 +58,8 @@
             m_viewConfirmed || m_countedInstances.size() > 1 || now - m_startedAt >= m_absenceHold;
     changed |= viewConfirmed != m_viewConfirmed;
     m_viewConfirmed = viewConfirmed;
+    if (changed)
+        groupByDataCentre();
     return changed;
 }
 
@@ -74,12 +84,31 @@
         return base;
     // If every instance gets at least one connection, proximity does not matter.
     const data_centre_id preferredDataCentre = base == 0 ? serverDataCentre : data_centre_id();
-    const auto own =
-            preferenceOf(m_self, m_countedInstances.at(m_self), server, preferredDataCentre);
-    std::uint32_t rankedAhead = 0;
-    for (const auto &[id, dataCentre] : m_countedInstances)
-        rankedAhead += preferenceOf(id, dataCentre, server, preferredDataCentre) > own ? 1 : 0;
-    return base + (rankedAhead < remainder ? 1 : 0);
+    return base + (isAmongPreferred(remainder, server, preferredDataCentre) ? 1 : 0);
+}
+
+bool connection_share::isAmongPreferred(std::uint32_t limit, const server_id &server,
+                                        const data_centre_id &serverDataCentre) const
+{
+    const auto nearnessOf = [&](const data_centre_id &dataCentre) {
+        return serverDataCentre.value().empty() ? 0 : m_nearness(dataCentre, serverDataCentre);
+    };
+    const int ownNearness = nearnessOf(m_countedInstances.at(m_self));
+    const std::uint64_t serverHash = stableHash(server.value());
+    const std::uint64_t ownWeight = rendezvousWeight(serverHash, m_self.value());
+    std::size_t rankedAhead = 0;
+    for (const auto &[dataCentre, instances] : m_byDataCentre) {
+        const int nearness = nearnessOf(dataCentre);
+        if (nearness > ownNearness) {
+            rankedAhead += instances.size();
+        } else if (nearness == ownNearness) {
+            for (const instance_id &id : instances)
+                rankedAhead += rendezvousWeight(serverHash, id.value()) > ownWeight ? 1 : 0;
+        }
+        if (rankedAhead >= limit)
+            return false;
+    }
+    return true;
 }
 
 std::vector<instance_id> connection_share::owners(const server_id &server,
--- a/lib/support/hash.cpp
+++ b/lib/support/hash.cpp
@@ -11,7 +11,12 @@
 
 std::uint64_t rendezvousWeight(std::string_view key, std::string_view node)
 {
-    return stableHash(node, stableHash(key));
+    return rendezvousWeight(stableHash(key), node);
+}
+
+std::uint64_t rendezvousWeight(std::uint64_t keyHash, std::string_view node)
+{
+    return stableHash(node, keyHash);
 }
 
 } // namespace peridotwheel
--- a/unittests/limits/limits_test.cpp
+++ b/unittests/limits/limits_test.cpp
@@ -161,6 +161,31 @@
     }
 }
 
+// Guards against a process that stands still for a tenth of a second at each change of an instance,
+// because it looks up the proximity of each instance to each server anew.
+TEST(connection_share, looksUpTheProximityOnceForEachDataCentre)
+{
+    constexpr int instances = 295;
+    constexpr unsigned dataCentres = 6;
+    member_map members;
+    for (int i = 0; i < instances; ++i) {
+        member m;
+        m.id = instance_id("i" + std::to_string(i));
+        m.dataCentre = data_centre_id("d" + std::to_string(i % dataCentres));
+        members[m.id] = m;
+    }
+    unsigned lookups = 0;
+    const auto nearness = [&lookups](const data_centre_id &a, const data_centre_id &b) {
+        ++lookups;
+        return a == b ? 1 : 0;
+    };
+    connection_share share(instance_id("i0"), start, seconds(10), data_centre_id("d0"), nearness);
+    share.updateMembers(members, start);
+    constexpr std::uint32_t scarce = 175;
+    share(server_id("n1"), scarce, data_centre_id("d1"));
+    EXPECT_LE(lookups, dataCentres + 1);
+}
+
 // Guards against shares that grow while another instance's view still counts an absent instance.
 TEST(connection_share, shrinksAtOnceAndGrowsAfterTheHold)
 {
