Derive what is known of a request's parts

Whether the first server of a part is likely unresponsive follows from its placement, and whether parts are missing from the numbers that are kept, so that neither is stored or counted a second time; the condition of waiting for the target is computed once.

--- a/lib/gateway/running_request.cpp
+++ b/lib/gateway/running_request.cpp
@@ -165,15 +165,14 @@
     for (part &p : m_parts) {
         p.first = choosePlacement(p, false);
         const auto &best = p.first.best;
-        p.likelyUnresponsive = best && best->likelyUnresponsive;
         const bool tooLong = best && !best->likelyUnresponsive &&
                              now + timeNeeded(*best) > m_times.deadline && !isGather();
         // A part that may not be sent in time would delay the answer to the target for nothing.
         const bool isLimited = best && isGather() && now + best->sendDelay >= m_times.targetEnd;
         if (!best || tooLong || isLimited)
             giveUp(p);
-        likelyUnresponsive += isPending(p) && p.likelyUnresponsive ? 1 : 0;
-        if (p.isGivenUp || p.likelyUnresponsive) {
+        likelyUnresponsive += isPending(p) && p.isLikelyUnresponsive() ? 1 : 0;
+        if (p.isGivenUp || p.isLikelyUnresponsive()) {
             const char *event = "servers_silent";
             if (!best)
                 event = "no_server";
@@ -190,7 +189,7 @@
     if (meetsMinCoverage(likely)) {
         // Attempts at likely unresponsive servers would only delay the answer.
         for (part &p : m_parts) {
-            if (p.likelyUnresponsive)
+            if (p.isLikelyUnresponsive())
                 giveUp(p);
         }
         return false;
--- a/lib/gateway/running_request.h
+++ b/lib/gateway/running_request.h
@@ -67,7 +67,6 @@
         bool isAnswered = false;
         /// Whether no further attempt is made and no answer is expected.
         bool isGivenUp = false;
-        bool likelyUnresponsive = false;
         /// Servers for the first attempt.
         placement_choice first;
         bool wasBudgetDenied = false;
@@ -79,6 +78,8 @@
         duration served{};
         /// The last failure reply of a server.
         std::optional<http_reply> failure;
+
+        bool isLikelyUnresponsive() const { return first.best && first.best->likelyUnresponsive; }
     };
 
     /// Time of a second attempt and index of its part.
--- a/lib/gateway/running_request_answer.cpp
+++ b/lib/gateway/running_request_answer.cpp
@@ -55,7 +55,7 @@
 bool running_request::isStuck(const part &p, time_point now) const
 {
     if (p.live.empty())
-        return p.likelyUnresponsive;
+        return p.isLikelyUnresponsive();
     return std::all_of(p.live.begin(), p.live.end(), [now, this](const live_attempt &l) {
         return estimatePlacement(l.server->candidate(), m_state.workOf(*m_route).typical(), now)
                 .likelyUnresponsive;
@@ -92,10 +92,10 @@
         return;
     const time_point now = m_state.loop.now();
     parts_state parts = partsState();
-    m_isWaitingForTargetEnd =
-            m_isWaitingForTargetEnd || (meetsMinCoverage(parts) && now < m_times.targetEnd);
+    const bool isEnoughBeforeTargetEnd = meetsMinCoverage(parts) && now < m_times.targetEnd;
+    m_isWaitingForTargetEnd = m_isWaitingForTargetEnd || isEnoughBeforeTargetEnd;
     // Looked at only where the decision depends on it, since this is called for each reply.
-    if (meetsMinCoverage(parts) && parts.pending > 0 && now < m_times.targetEnd)
+    if (isEnoughBeforeTargetEnd && parts.pending > 0)
         parts.unresponsive = isStuck(now) ? parts.pending : 0;
     switch (decideAnswer(parts, m_times, now)) {
     case answer_decision::Wait:
@@ -269,9 +269,7 @@
         if (!p.isAnswered)
             m_trace.add(at, "part_missing", p.group->name.value(), "", p.possibleRuns);
     }
-    const bool isRemarkable = late || status >= firstFailure ||
-                              std::any_of(m_parts.begin(), m_parts.end(),
-                                          [](const part &p) { return !p.isAnswered; });
+    const bool isRemarkable = late || status >= firstFailure || m_answered < m_parts.size();
     m_trace.write(m_state.log, at, m_state.loop.processorTime(), *m_route, m_version, outcome,
                   isRemarkable);
 }
