--- a/unittests/gateway/query_cost_test.cpp
+++ b/unittests/gateway/query_cost_test.cpp
@@ -1,4 +1,5 @@
 #include "fake_backends.h"
+#include "fixtures/wide_fleet.h"
 #include "peridotwheel/counters/counter_set.h"
 #include "peridotwheel/gateway/decision_log.h"
 
@@ -43,49 +44,17 @@
 public:
     explicit wide_gateway(std::size_t shards)
         : m_shards(shards)
-        , m_gate(m_counting, m_backends, m_dialect, m_counters, m_log, options())
+        , m_gate(m_counting, m_backends, m_dialect, m_counters, m_log, wide_fleet::options())
     {
-        const char *const dataCentres[] = {"near", "far", "farther"};
-        route_configuration configuration;
-        configuration.version = configuration_version(1);
-        auto r = std::make_shared<route>();
-        r->name = route_name("all");
-        r->host = "host.example";
-        r->prefix = "/";
-        r->kind = request_kind::Idempotent;
-        r->timeout = milliseconds(2000);
-        r->target = milliseconds(250);
-        r->maxAttempts = 2;
-        gather_spec gather;
-        gather.topRecords = 3;
-        gather.minCoverage = 0.95;
-        backend_map servers;
-        for (std::size_t s = 0; s < shards; ++s) {
-            const service_name service("s" + std::to_string(s));
-            gather.shards.push_back(service);
-            configuration.services[service].maxConnections = 195;
-            for (std::size_t i = 0; i < 3; ++i) {
-                backend_record record;
-                const auto port = static_cast<std::uint16_t>(1000 + 3 * s + i);
-                record.id = server_id("server-" + std::to_string(port));
-                record.service = service;
-                record.address = {"10.0.0.1", port};
-                record.dataCentre = data_centre_id(dataCentres[i]);
-                record.slots = 7;
-                servers[record.id] = record;
-                auto &server = m_backends.at(port);
-                server.distance = milliseconds(i == 0 ? 2 : 24);
-                server.work = milliseconds(8) + std::chrono::microseconds(41 * (s % 100));
-                server.records = std::string(16, 'r');
-            }
-        }
-        r->gather = gather;
-        configuration.routes = {r};
-        member self;
-        self.id = instance_id("self");
-        m_gate.setInstances({{self.id, self}});
-        m_gate.setServers(servers);
-        m_gate.setRoutes(std::make_shared<route_table>(std::move(configuration)));
+        wide_fleet::setUp(m_gate, shards, [this](std::size_t shard, std::size_t replica) {
+            const auto port =
+                    static_cast<std::uint16_t>(1000 + wide_fleet::replicas * shard + replica);
+            auto &server = m_backends.at(port);
+            server.distance = milliseconds(replica == 0 ? 2 : 24);
+            server.work = milliseconds(8) + std::chrono::microseconds(41 * (shard % 100));
+            server.records = std::string(16, 'r');
+            return endpoint{"10.0.0.1", port};
+        });
         m_loop.advance(seconds(12));
     }
 
@@ -101,7 +70,7 @@
         opaque_request request;
         request.method = "GET";
         request.target = "/";
-        request.headers = {{"Host", "host.example"}, {"Id", "q" + std::to_string(m_nextId++)}};
+        request.headers = {{"Host", wide_fleet::host}, {"Id", "q" + std::to_string(m_nextId++)}};
         m_gate.handle(request, client);
         m_loop.advance(length);
         EXPECT_EQ(client->replies.size(), 1U);
@@ -118,18 +87,11 @@
     {
         const std::uint64_t atStart = m_counting.reads;
         m_loop.advance(seconds(1));
-        return static_cast<double>(m_counting.reads - atStart) / static_cast<double>(3 * m_shards);
+        return static_cast<double>(m_counting.reads - atStart) /
+               static_cast<double>(wide_fleet::replicas * m_shards);
     }
 
 private:
-    static gateway_options options()
-    {
-        gateway_options o;
-        o.self = instance_id("self");
-        o.dataCentre = data_centre_id("near");
-        return o;
-    }
-
     std::size_t m_shards;
     manual_loop m_loop;
     counting_loop m_counting{m_loop};
