Log why parts are missing, and how many shards have one server in reach

The story of a query named its missing parts, but did not tell a part without another server from one whose extra attempt was denied or whose reply was awaited; at the rate limit most stories of refused queries are left out. request_ended now counts missing parts by reason, three counters sum them, and a gauge and a line shards_without_second_server tell how far an instance reaches.

--- a/include/peridotwheel/gateway/backend_server.h
+++ b/include/peridotwheel/gateway/backend_server.h
@@ -137,6 +137,8 @@
         updateLimitShare();
     }
     std::uint32_t standingShare() const { return m_standingShare; }
+    /// Returns whether this instance may ever connect to the server.
+    bool isWithinReach() const { return m_maxConnections > 0 && !isDraining(); }
     /// Sets the number of standing connections, which are kept open without a request. One of them
     /// is opened in advance; connections beyond this number are closed soon after use.
     void setStanding(std::uint32_t standing) { m_standing = standing; }
--- a/lib/gateway/gateway_state.cpp
+++ b/lib/gateway/gateway_state.cpp
@@ -53,6 +53,10 @@
     , secondAttempts(set.at("gateway.second_attempts"))
     , repeatedAttempts(set.at("gateway.repeated_attempts"))
     , budgetDenied(set.at("gateway.extra_attempts_denied"))
+    , missingWithoutServer(set.at("gateway.parts_missing.no_other_server"))
+    , missingByBudget(set.at("gateway.parts_missing.budget_denied"))
+    , missingAwaited(set.at("gateway.parts_missing.awaited"))
+    , shardsWithoutSecondServer(set.at("gateway.shards_without_second_server"))
     , openedForAttempts(set.at("gateway.connections_opened.attempts"))
     , openedInAdvance(set.at("gateway.connections_opened.in_advance"))
     , openedForHealthChecks(set.at("gateway.connections_opened.health_checks"))
@@ -354,7 +358,9 @@
 {
     // Each tick takes the next groups, so that the work is spread evenly over a round.
     std::size_t due = groups.size();
-    if (!std::exchange(m_isFullRoundDue, false))
+    if (std::exchange(m_isFullRoundDue, false))
+        updateReach();
+    else
         due = (groups.size() + ticksPerRound - 1) / ticksPerRound;
     auto it = groups.upper_bound(m_lastMaintained);
     for (; due > 0; --due) {
@@ -367,6 +373,28 @@
     }
 }
 
+void gateway_state::updateReach()
+{
+    std::size_t replicated = 0;
+    std::size_t withoutSecond = 0;
+    for (const auto &[name, group] : groups) {
+        const auto &all = group->servers;
+        if (all.size() < 2)
+            continue;
+        ++replicated;
+        const auto reached = std::count_if(all.begin(), all.end(), [](const auto &server) {
+            return server->isWithinReach();
+        });
+        withoutSecond += reached < 2 ? 1 : 0;
+    }
+    count.shardsWithoutSecondServer.set(withoutSecond);
+    if (withoutSecond == std::exchange(m_loggedShardsWithoutSecond, withoutSecond))
+        return;
+    log.decision("shards_without_second_server")
+            .add("count", static_cast<std::int64_t>(withoutSecond))
+            .add("of", static_cast<std::int64_t>(replicated));
+}
+
 void gateway_state::maintainBusyServers()
 {
     const auto busy = busyServers;
--- a/lib/gateway/gateway_state.h
+++ b/lib/gateway/gateway_state.h
@@ -58,6 +58,10 @@
     counter &secondAttempts;
     counter &repeatedAttempts;
     counter &budgetDenied;
+    counter &missingWithoutServer;
+    counter &missingByBudget;
+    counter &missingAwaited;
+    counter &shardsWithoutSecondServer;
     counter &openedForAttempts;
     counter &openedInAdvance;
     counter &openedForHealthChecks;
@@ -146,6 +150,8 @@
     void maintainGroup(const service_group &group);
     void maintainDueGroups();
     void maintainBusyServers();
+    /// Counts the shards at which a second attempt can reach no other server.
+    void updateReach();
     void updateMembership(time_point now);
     void logAdmissions();
     void logOpenAdmission(const service_name &shard, const char *reason);
@@ -156,6 +162,8 @@
     unsigned m_ticks = 0;
     /// The group that was maintained last; a round goes by the order of names.
     service_name m_lastMaintained;
+    /// Shards without a second server as last logged.
+    std::size_t m_loggedShardsWithoutSecond = 0;
     /// Whether the next tick maintains all groups, since servers or shares have changed.
     bool m_isFullRoundDue = true;
     timer m_timer;
--- a/lib/gateway/request_trace.cpp
+++ b/lib/gateway/request_trace.cpp
@@ -48,6 +48,9 @@
             .addMs("took_ms", now - m_arrival)
             .addMs("last_sent_ms", m_lastSent)
             .add("waited_for_connection", static_cast<std::int64_t>(m_waitedForConnection))
+            .add("missing_no_other_server", static_cast<std::int64_t>(m_missing.withoutServer))
+            .add("missing_budget_denied", static_cast<std::int64_t>(m_missing.byBudget))
+            .add("missing_awaited", static_cast<std::int64_t>(m_missing.awaited))
             .addMs("processor_ms", processorTime - m_processorTimeAtArrival);
 }
 
--- a/lib/gateway/request_trace.h
+++ b/lib/gateway/request_trace.h
@@ -9,6 +9,17 @@
 
 namespace peridotwheel {
 
+/// Numbers of parts that are missing from an answer, by reason.
+struct missing_parts
+{
+    /// No untried server could take an attempt.
+    std::size_t withoutServer = 0;
+    /// A further attempt was denied by the budget.
+    std::size_t byBudget = 0;
+    /// A reply was awaited or a further server was left when the answer was due.
+    std::size_t awaited = 0;
+};
+
 /// The decisions about one request. They are written to the log at its end, completely or not at
 /// all as the rate limit permits: for requests that bypass sampling, which are the late, failed and
 /// incomplete ones, and for a sample of the others.
@@ -29,6 +40,8 @@
              const std::string &server, double value = 0);
     /// Records that an attempt was given to a connection at \p now.
     void addSent(time_point now, bool waitedForConnection);
+    /// Records why parts are missing from the answer.
+    void setMissing(const missing_parts &missing) { m_missing = missing; }
     /// \p processorTime is that of the process at \p now.
     void write(decision_log &log, time_point now, duration processorTime, const route &r,
                configuration_version version, const char *outcome, bool bypassSampling) const;
@@ -49,6 +62,7 @@
     /// Time from the arrival to the last attempt that was given to a connection.
     duration m_lastSent{};
     std::size_t m_waitedForConnection = 0;
+    missing_parts m_missing;
     std::vector<entry> m_entries;
 };
 
--- a/lib/gateway/running_request.h
+++ b/lib/gateway/running_request.h
@@ -145,6 +145,8 @@
     duration timeUntilServersAccept() const;
     void refuse(duration retryAfter, const char *text);
     void deliver(const http_reply &reply, const char *outcome);
+    /// Counts the parts that are missing from the answer.
+    missing_parts missingParts() const;
     /// Counts and logs the answer that was given at \p at.
     void recordOutcome(int status, const char *outcome, time_point at);
     /// Detaches the part's attempts. Attempts that have been sent may run until \p end.
--- a/lib/gateway/running_request_answer.cpp
+++ b/lib/gateway/running_request_answer.cpp
@@ -255,6 +255,22 @@
     recordOutcome(reply.status, outcome, now);
 }
 
+missing_parts running_request::missingParts() const
+{
+    missing_parts missing;
+    for (const part &p : m_parts) {
+        if (p.isAnswered)
+            continue;
+        if (p.wasBudgetDenied)
+            ++missing.byBudget;
+        else if (!choosePlacement(p, false).best)
+            ++missing.withoutServer;
+        else
+            ++missing.awaited;
+    }
+    return missing;
+}
+
 void running_request::recordOutcome(int status, const char *outcome, time_point at)
 {
     constexpr int firstFailure = 300;
@@ -269,6 +285,13 @@
         if (!p.isAnswered)
             m_trace.add(at, "part_missing", p.group->name.value(), "", p.possibleRuns);
     }
+    if (isGather() && m_answered < m_parts.size()) {
+        const missing_parts missing = missingParts();
+        m_state.count.missingWithoutServer.add(missing.withoutServer);
+        m_state.count.missingByBudget.add(missing.byBudget);
+        m_state.count.missingAwaited.add(missing.awaited);
+        m_trace.setMissing(missing);
+    }
     const bool isRemarkable = late || status >= firstFailure || m_answered < m_parts.size();
     m_trace.write(m_state.log, at, m_state.loop.processorTime(), *m_route, m_version, outcome,
                   isRemarkable);
