--- a/unittests/gateway/fake_backends.cpp
+++ b/unittests/gateway/fake_backends.cpp
@@ -104,6 +104,7 @@
         , m_hooks(std::move(hooks))
     {
         m_isOverLimit = ++m_server.openConnections > m_server.maxConnections;
+        m_server.mostConnections = std::max(m_server.mostConnections, m_server.openConnections);
         m_event = m_loop.schedule(m_server.distance, [this] {
             // Hooks may destroy this connection, so copies are called.
             if (m_server.unreachable) {
--- a/unittests/gateway/fake_backends.h
+++ b/unittests/gateway/fake_backends.h
@@ -75,6 +75,8 @@
         /// Exchanges that were ended by closing the connection.
         unsigned aborted = 0;
         unsigned openConnections = 0;
+        /// Most connections that were open at once.
+        unsigned mostConnections = 0;
     };
 
     explicit fake_backends(manual_loop &loop)
