Open connections on demand where instances outnumber them

Cause: a server takes 195 connections, of which 175 were dealt to the instances nearest to it, and the other instances never connected to it. An instance reached its own region's server of a shard and each of the other two with a chance of 0.39, so that it had a single server for a third of the shards and no second attempt there, while most of the connections were idle. Change: where instances outnumber connections, a quarter of them is not dealt, but used for single attempts by whoever needs one. Each instance holds such a connection for its part of their time on average, closes it after the attempt, and saves nothing up across a restart, so that shares and connections on demand stay within the limit without communication. If the part is never enough for an attempt, as at 5,300 instances and 25 connections, nothing changes.

--- a/include/peridotwheel/gateway/backend_server.h
+++ b/include/peridotwheel/gateway/backend_server.h
@@ -2,6 +2,7 @@
 #define PERIDOTWHEEL_GATEWAY_BACKEND_SERVER_H
 
 #include "peridotwheel/gateway/backend_record.h"
+#include "peridotwheel/gateway/connection_allowance.h"
 #include "peridotwheel/gateway/placement.h"
 #include "peridotwheel/gateway/server_health.h"
 #include "peridotwheel/gateway/server_limit.h"
@@ -129,14 +130,12 @@
     /// Applies a newer record of the same run of the server.
     void update(const backend_record &record);
     /// Sets how many connections may be open at once, and how many of them may stay open without a
-    /// request.
-    void setConnectionShare(std::uint32_t maxConnections, std::uint32_t standing)
-    {
-        m_maxConnections = maxConnections;
-        m_standingShare = standing;
-        updateLimitShare();
-    }
+    /// request. An instance without a share of its own opens single ones on demand, \p onDemand of
+    /// them on average.
+    void setConnectionShare(std::uint32_t maxConnections, std::uint32_t standing, double onDemand);
     std::uint32_t standingShare() const { return m_standingShare; }
+    /// Returns whether a connection is opened for single attempts only.
+    bool isConnectedOnDemand() const { return m_isConnectedOnDemand; }
     /// Returns whether this instance may ever connect to the server.
     bool isWithinReach() const { return m_maxConnections > 0 && !isDraining(); }
     /// Sets the number of standing connections, which are kept open without a request. One of them
@@ -191,6 +190,8 @@
     void beginBusyPeriod();
     /// Closes an idle connection that \p spec excludes if no further one may be opened.
     void makeRoomFor(const attempt_spec &spec);
+    /// Returns whether another connection may be opened now.
+    bool mayOpen() const;
     void openIfNeeded();
     void onOpen(slot &s);
     void onClosed(slot &s);
@@ -230,6 +231,8 @@
     std::uint32_t m_maxConnections = 1;
     std::uint32_t m_standingShare = 0;
     std::uint32_t m_standing = 0;
+    connection_allowance m_allowance;
+    bool m_isConnectedOnDemand = false;
     bool m_isInBusyPeriod = false;
     bool m_isDraining = false;
     bool m_isOpenedInAdvance = true;
--- a/lib/gateway/backend_server.cpp
+++ b/lib/gateway/backend_server.cpp
@@ -46,6 +46,7 @@
     backend_attempt_ptr attempt;
     bool isChecking = false;
     bool isOpen = false;
+    bool isOnDemand = false;
     bool hasReplied = false;
     time_point startedAt{};
     time_point openedAt{};
@@ -77,6 +78,16 @@
         drain();
 }
 
+void backend_server::setConnectionShare(std::uint32_t maxConnections, std::uint32_t standing,
+                                        double onDemand)
+{
+    m_allowance.setPart(onDemand, m_env.loop.now());
+    m_isConnectedOnDemand = maxConnections == 0 && m_allowance.isEnough();
+    m_maxConnections = m_isConnectedOnDemand ? 1 : maxConnections;
+    m_standingShare = standing;
+    updateLimitShare();
+}
+
 void backend_server::drain()
 {
     const auto self = shared_from_this();
@@ -118,7 +129,7 @@
     c.isUsable = !wantsNoRequests() && m_maxConnections > 0;
     c.isCold = now < m_coldUntil;
     c.hasIdleConnection = idleSlot(false) != nullptr;
-    c.canConnect = m_slots.size() < m_maxConnections && now >= m_connectAfter;
+    c.canConnect = mayOpen();
     c.recentlyRefused = m_connectBackoff > duration::zero();
     c.openConnections = static_cast<std::size_t>(
             std::count_if(m_slots.begin(), m_slots.end(), [](const auto &s) { return s->isOpen; }));
@@ -192,6 +203,7 @@
     m_slots.push_back(std::make_unique<slot>());
     slot &s = *m_slots.back();
     s.number = connection_number(m_nextConnection++);
+    s.isOnDemand = m_isConnectedOnDemand;
     s.startedAt = m_env.loop.now();
     s.connection = m_env.connector.open(
             m_record.address, {[this, &s] { onOpen(s); }, [this, &s] { onClosed(s); },
@@ -207,12 +219,19 @@
         return s->isIdle() && isExcluded(spec, s->number);
     });
     if (it != m_slots.end())
-        m_slots.erase(it);
+        remove(**it);
+}
+
+bool backend_server::mayOpen() const
+{
+    const time_point now = m_env.loop.now();
+    return m_slots.size() < m_maxConnections && now >= m_connectAfter &&
+           (!m_isConnectedOnDemand || m_allowance.mayOpen(now));
 }
 
 void backend_server::openIfNeeded()
 {
-    if (wantsNoRequests() || m_env.loop.now() < m_connectAfter)
+    if (wantsNoRequests())
         return;
     std::size_t opening = 0;
     for (const auto &s : m_slots)
@@ -221,7 +240,7 @@
     std::size_t needed = m_waiting.size();
     if (m_limit.delay(0, m_env.loop.now()) > duration::zero())
         needed = idleSlot(true) != nullptr ? 0 : std::min<std::size_t>(needed, 1);
-    while (m_slots.size() < m_maxConnections && opening < needed) {
+    while (opening < needed && mayOpen()) {
         open(connection_event::OpenedForAttempt);
         ++opening;
     }
@@ -419,7 +438,8 @@
 void backend_server::release(slot &s)
 {
     s.idleSince = m_env.loop.now();
-    if (!s.connection->open() || m_slots.size() > m_maxConnections)
+    const bool isDone = m_isConnectedOnDemand && m_waiting.empty();
+    if (!s.connection->open() || m_slots.size() > m_maxConnections || isDone)
         remove(s);
 }
 
@@ -427,8 +447,13 @@
 {
     const auto it = std::find_if(m_slots.begin(), m_slots.end(),
                                  [&s](const auto &each) { return each.get() == &s; });
-    if (it != m_slots.end())
-        m_slots.erase(it);
+    if (it == m_slots.end())
+        return;
+    if (s.isOnDemand) {
+        const time_point now = m_env.loop.now();
+        m_allowance.onClosed(now - s.startedAt, now);
+    }
+    m_slots.erase(it);
 }
 
 void backend_server::endOverdueAttempts(time_point now)
@@ -469,8 +494,10 @@
         const bool isStale = s->isIdle() && (now - s->idleSince >= keep || isDraining());
         const bool neverOpened = !s->isOpen && now - s->startedAt >= connectTimeout;
         const bool checkTimedOut = s->isChecking && now - s->busySince >= checkTimeout;
+        // A suspect server's connection is kept for its health check.
+        const bool isDone = m_isConnectedOnDemand && m_waiting.empty() && !m_health.isSuspect();
         const bool isSurplus =
-                surplus > 0 && s->isIdle() && now - s->idleSince >= surplusIdleTimeout;
+                surplus > 0 && s->isIdle() && (isDone || now - s->idleSince >= surplusIdleTimeout);
         if (isStale || neverOpened || checkTimedOut || isSurplus) {
             stale.push_back(s.get());
             surplus -= std::min<std::size_t>(surplus, 1);
@@ -500,7 +527,7 @@
     m_nextCheck = now + checkInterval;
     slot *s = idleSlot(false);
     if (s == nullptr) {
-        if (m_slots.size() < m_maxConnections)
+        if (mayOpen())
             open(connection_event::OpenedForHealthCheck);
         return;
     }
--- a/lib/gateway/gateway_state.cpp
+++ b/lib/gateway/gateway_state.cpp
@@ -247,13 +247,15 @@
     const bool isDiscoveryOver = loop.now() - m_startedAt >= memberDiscoveryTimeout;
     if (spec == nullptr || (members.empty() && !isDiscoveryOver)) {
         // A service that the configuration does not name yet gets no connections either.
-        server.setConnectionShare(0, 0);
+        server.setConnectionShare(0, 0, 0);
         return;
     }
     const auto usable = std::max<std::uint32_t>(
             static_cast<std::uint32_t>(usableConnectionFraction * spec->maxConnections), 1);
-    server.setConnectionShare(share(record.id, usable, record.dataCentre),
-                              share(record.id, standingConnections(usable), record.dataCentre));
+    const connection_division division = divideConnections(usable, share.instances());
+    server.setConnectionShare(share(record.id, division.shared, record.dataCentre),
+                              share(record.id, division.standing, record.dataCentre),
+                              division.onDemandPart);
 }
 
 double gateway_state::ownShareOfLimit(const backend_record &server, request_rate limit) const
@@ -272,7 +274,8 @@
     candidates.reserve(group.servers.size());
     for (const auto &server : group.servers) {
         const placement_candidate at = server->candidate();
-        candidates.push_back({at.isUsable && isReachable(at), server->standingShare() > 0,
+        const bool mayStand = at.isUsable && isReachable(at) && !server->isConnectedOnDemand();
+        candidates.push_back({mayStand, server->standingShare() > 0,
                               estimatePlacement(at, group.usualWork, now)});
     }
     const std::vector<bool> chosen = chooseStanding(candidates);
@@ -382,9 +385,8 @@
         if (all.size() < 2)
             continue;
         ++replicated;
-        const auto reached = std::count_if(all.begin(), all.end(), [](const auto &server) {
-            return server->isWithinReach();
-        });
+        const auto reached = std::count_if(
+                all.begin(), all.end(), [](const auto &server) { return server->isWithinReach(); });
         withoutSecond += reached < 2 ? 1 : 0;
     }
     count.shardsWithoutSecondServer.set(withoutSecond);
--- a/lib/gateway/standing_connections.cpp
+++ b/lib/gateway/standing_connections.cpp
@@ -9,6 +9,8 @@
 
 /// An attempt and its second attempt find open connections.
 constexpr std::size_t connectionsInAdvance = 2;
+/// Fraction of the connections that instances without a share use on demand.
+constexpr double onDemandFraction = 0.25;
 
 bool isQuicker(const standing_candidate &a, const standing_candidate &b)
 {
@@ -25,6 +27,19 @@
     return usable / 2;
 }
 
+connection_division divideConnections(std::uint32_t usable, std::size_t instances)
+{
+    connection_division division;
+    division.shared = usable;
+    division.standing = standingConnections(usable);
+    if (instances > usable) {
+        const auto onDemand = static_cast<std::uint32_t>(onDemandFraction * usable);
+        division.shared -= onDemand;
+        division.onDemandPart = static_cast<double>(onDemand) / static_cast<double>(instances);
+    }
+    return division;
+}
+
 std::vector<bool> chooseStanding(const std::vector<standing_candidate> &candidates)
 {
     std::vector<bool> chosen(candidates.size());
--- a/lib/gateway/standing_connections.h
+++ b/lib/gateway/standing_connections.h
@@ -16,6 +16,22 @@
 /// connections for some seconds more, and the instances open as many new ones beside them.
 std::uint32_t standingConnections(std::uint32_t usable);
 
+/// How the usable connections of one server are divided among instances.
+struct connection_division
+{
+    /// Connections dealt as shares.
+    std::uint32_t shared = 0;
+    /// Of these, the ones that may be kept open without a request.
+    std::uint32_t standing = 0;
+    /// Connections that each instance without a share may open on demand, on average.
+    double onDemandPart = 0;
+};
+
+/// Divides \p usable connections among \p instances instances. If these are more than the
+/// connections, some connections are used on demand: an instance that could never reach a server
+/// would have none left for a second attempt while the others of the shard are in trouble.
+connection_division divideConnections(std::uint32_t usable, std::size_t instances);
+
 /// A server to which an instance may keep a standing connection.
 struct standing_candidate
 {
--- a/unittests/gateway/fake_backends.cpp
+++ b/unittests/gateway/fake_backends.cpp
@@ -1,5 +1,7 @@
 #include "fake_backends.h"
 
+#include "peridotwheel/support/hash.h"
+
 #include <algorithm>
 #include <sstream>
 
@@ -157,7 +159,7 @@
     void arrive()
     {
         const bool isCheck = m_id == "health";
-        const server_behaviour how = m_server.behaviour;
+        const server_behaviour how = behaviourFor(m_id);
         if (!isCheck) {
             m_server.arrived.push_back(m_id);
             m_server.arrivedAt.push_back(m_loop.now());
@@ -181,6 +183,17 @@
         m_event = m_loop.schedule(work + m_server.distance / 2, [this, how] { answer(how); });
     }
 
+    server_behaviour behaviourFor(const std::string &id) const
+    {
+        if (m_server.disturbedShare >= 1)
+            return m_server.behaviour;
+        constexpr double steps = 1000;
+        const auto draw = static_cast<double>(
+                stableHash(id + "@" + std::to_string(m_server.arrived.size())) % 1000);
+        return draw < steps * m_server.disturbedShare ? m_server.behaviour
+                                                      : server_behaviour::Answer;
+    }
+
     void answer(server_behaviour how)
     {
         http_outcome outcome;
--- a/unittests/gateway/fake_backends.h
+++ b/unittests/gateway/fake_backends.h
@@ -54,6 +54,8 @@
     struct server
     {
         server_behaviour behaviour = server_behaviour::Answer;
+        /// Share of the requests that are treated so; the others are answered.
+        double disturbedShare = 1;
         duration distance = milliseconds(2);
         duration work = milliseconds(5);
         /// Connections are refused.
--- a/unittests/gateway/standing_connections_test.cpp
+++ b/unittests/gateway/standing_connections_test.cpp
@@ -166,7 +166,7 @@
                 backend_server::environment{loop, backends, dialect,
                                             [](const backend_server &, const char *) {}},
                 record, "/", milliseconds(2));
-        server->setConnectionShare(3, 1);
+        server->setConnectionShare(3, 1, 0);
         server->setStanding(1);
     }
 
@@ -253,6 +253,38 @@
     EXPECT_EQ(backends.at(port).openConnections, 0U);
 }
 
+// A fleet that outnumbers a server's connections has none left for an instance that keeps one open.
+TEST_F(single_server, closesAConnectionOnDemandRightAfterItsAttempt)
+{
+    server->setStanding(0);
+    server->setConnectionShare(0, 0, 0.2);
+    maintainFor(seconds(3));
+    EXPECT_EQ(backends.at(port).openConnections, 0U);
+    EXPECT_TRUE(isReachable(server->candidate()));
+    submit();
+    loop.advance(milliseconds(3));
+    EXPECT_EQ(backends.at(port).openConnections, 1U);
+    loop.advance(milliseconds(50));
+    EXPECT_EQ(backends.at(port).arrived.size(), 1U);
+    EXPECT_EQ(backends.at(port).openConnections, 0U);
+}
+
+// A suspect server without a share is never used again unless its health is checked.
+TEST_F(single_server, checksTheHealthOfASuspectServerOnDemand)
+{
+    server->setStanding(0);
+    server->setConnectionShare(0, 0, 0.2);
+    maintainFor(seconds(3));
+    backends.at(port).behaviour = server_behaviour::Silent;
+    submit();
+    maintainFor(seconds(8));
+    EXPECT_TRUE(server->health().isSuspect());
+    backends.at(port).behaviour = server_behaviour::Answer;
+    maintainFor(seconds(10));
+    EXPECT_FALSE(server->health().isSuspect());
+    EXPECT_EQ(backends.at(port).openConnections, 0U);
+}
+
 // Of the servers of a service, only the quickest one needs a connection in advance at all times.
 TEST(openedInAdvance, isTheQuickestOfTheChosenServers)
 {
--- a/unittests/gateway/wide_fleet_fixture.cpp
+++ b/unittests/gateway/wide_fleet_fixture.cpp
@@ -15,6 +15,9 @@
 constexpr duration step = milliseconds(5);
 /// Until the shares are settled and the instances use their whole budget of extra attempts.
 constexpr duration settlingTime = seconds(12);
+/// Time limit of a query and a margin.
+constexpr duration longestQuery = seconds(3);
+constexpr duration exchangeInterval = milliseconds(400);
 constexpr duration target = milliseconds(250);
 /// Constant part of the extra attempts at a shard that all instances together may send in 10 s.
 constexpr double extraAttempts = 630;
@@ -33,7 +36,8 @@
 } // namespace
 
 wide_fleet_simulation::instance::instance(wide_fleet_simulation &fleet, std::size_t index)
-    : log(fleet.m_loop, "test", [](std::string_view text) { return text.size(); })
+    : dataCentre(optionsOf(index).dataCentre)
+    , log(fleet.m_loop, "test", [](std::string_view text) { return text.size(); })
     , gate(fleet.m_loop, fleet.m_backends, fleet.m_dialect, counters, log, optionsOf(index))
 {
 }
@@ -104,9 +108,14 @@
             request.headers = {{"Host", wide_fleet::host}, {"Id", "q-" + std::to_string(++m_sent)}};
             m_instances[m_random.below(m_instances.size())]->gate.handle(request, q->client);
         }
+        exchangeReports();
+        m_loop.advance(step);
+    }
+    const time_point answered = m_loop.now() + longestQuery;
+    while (m_loop.now() < answered) {
+        exchangeReports();
         m_loop.advance(step);
     }
-    m_loop.advance(seconds(3));
     served_queries out;
     out.offered = sent.size();
     for (const auto &q : sent) {
@@ -121,12 +130,33 @@
     return out;
 }
 
-void wide_fleet_simulation::disturb(double share, server_behaviour how)
+void wide_fleet_simulation::exchangeReports()
+{
+    if (m_loop.now() < m_nextExchange)
+        return;
+    m_nextExchange = m_loop.now() + exchangeInterval;
+    for (const auto &each : m_instances)
+        m_pools[each->dataCentre].add(each->gate.takeReports(), m_loop.now());
+    for (const auto &each : m_instances)
+        each->gate.setHints(m_pools[each->dataCentre].hints(m_loop.now()));
+}
+
+std::uint64_t wide_fleet_simulation::counted(const std::string &name)
+{
+    std::uint64_t sum = 0;
+    for (const auto &each : m_instances)
+        sum += each->counters.at(name).value();
+    return sum;
+}
+
+void wide_fleet_simulation::disturb(double share, server_behaviour how, double disturbedShare)
 {
     for (std::size_t s = 0; s < m_spec.shards; ++s) {
         for (std::size_t r = 0; r < wide_fleet::replicas; ++r) {
-            if (m_random.fraction() < share)
-                serverAt(s, r).behaviour = how;
+            if (m_random.fraction() >= share)
+                continue;
+            serverAt(s, r).behaviour = how;
+            serverAt(s, r).disturbedShare = disturbedShare;
         }
     }
 }
--- a/unittests/gateway/wide_fleet_fixture.h
+++ b/unittests/gateway/wide_fleet_fixture.h
@@ -3,12 +3,14 @@
 
 #include "fake_backends.h"
 #include "fixtures/wide_fleet.h"
+#include "lib/gateway/report_aggregator.h"
 #include "peridotwheel/counters/counter_set.h"
 #include "peridotwheel/gateway/decision_log.h"
 #include "peridotwheel/support/random_source.h"
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -50,10 +52,13 @@
 
     /// Sends queries to random instances for \p length, and returns what became of them.
     served_queries play(duration length);
-    /// Sets how \p share of all servers, chosen at random, treat their requests.
-    void disturb(double share, server_behaviour how);
+    /// Sets how \p share of all servers, chosen at random, treat \p disturbedShare of their
+    /// requests.
+    void disturb(double share, server_behaviour how, double disturbedShare = 1);
     /// Ends all disturbances.
     void recover();
+    /// Returns the sum of a counter over all instances.
+    std::uint64_t counted(const std::string &name);
     /// Returns the most connections that were open at one server since the last call.
     unsigned mostConnections();
     manual_loop &loop() { return m_loop; }
@@ -63,6 +68,7 @@
     {
         instance(wide_fleet_simulation &fleet, std::size_t index);
 
+        data_centre_id dataCentre;
         counter_set counters;
         decision_log log;
         gateway gate;
@@ -76,8 +82,9 @@
     {
         return m_backends.at(port(shard, replica));
     }
-    static data_centre_id dataCentreOf(std::size_t instance);
     void startAll();
+    /// Pools the measurements of each data centre, as its watcher does.
+    void exchangeReports();
 
     wide_fleet_spec m_spec;
     manual_loop m_loop;
@@ -86,6 +93,8 @@
     fake_backends m_backends{m_loop};
     member_map m_members;
     std::vector<std::unique_ptr<instance>> m_instances;
+    std::map<data_centre_id, report_aggregator> m_pools;
+    time_point m_nextExchange{};
     std::uint64_t m_sent = 0;
 };
 
