Round an instance's part of the extra attempts at random

What callers saw: for 10 s after a start, instances of a large fleet sent hardly any extra attempts, and parts were missing that a second attempt would have brought. Cause: an instance's part of a shard's budget was rounded down. 295 instances with three requests each in 10 s have 0.6 attempts each before the constant counts, and 2.5 after: the fleet used nothing, and later four fifths, of what it may use. Change: the part of an attempt is rounded up as often as its size says, so that the sum over the fleet is that of the parts.

--- a/include/peridotwheel/gateway/extra_attempt_budget.h
+++ b/include/peridotwheel/gateway/extra_attempt_budget.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 
 namespace peridotwheel {
 
@@ -24,15 +25,21 @@
 ///
 /// In every trailing window an instance uses at most the ratio times its own requests plus an equal
 /// share of the constant. The sum over all instances then stays within the limit without any
-/// communication between them, however uneven the load is. A process that has just started cannot
+/// communication between them, however uneven the load is. A part below one attempt is rounded at
+/// random, up as often as its size says: a large fleet whose instances have less than one attempt
+/// each would otherwise use nothing of its budget. A process that has just started cannot
 /// tell what its predecessor used, so it waits for one window before it uses its share of the
 /// constant.
 class extra_attempt_budget
 {
 public:
+    /// Returns a random number from 0 to 1.
+    using fraction_hook = std::function<double()>;
+
     /// \p processStart is the start of the process also for services that appear later, since no
     /// predecessor has used their budget.
-    extra_attempt_budget(const extra_attempt_limits &limits, time_point processStart);
+    extra_attempt_budget(const extra_attempt_limits &limits, time_point processStart,
+                         fraction_hook fraction);
 
     void onRequest(time_point now);
     /// Takes one extra attempt from the budget and returns whether there was one left.
@@ -55,10 +62,13 @@
     bucket &current() { return m_buckets[m_bucketNumber % bucketCount]; }
 
     extra_attempt_limits m_limits;
+    fraction_hook m_fraction;
     duration m_bucketDuration;
     time_point m_startedAt;
     std::uint64_t m_bucketNumber = 0;
     std::array<bucket, bucketCount> m_buckets{};
+    /// Part of an attempt from which the next one is allowed.
+    double m_roundUpFrom = 1;
     /// Sums over all buckets.
     std::uint32_t m_requests = 0;
     std::uint32_t m_extra = 0;
--- a/lib/gateway/extra_attempt_budget.cpp
+++ b/lib/gateway/extra_attempt_budget.cpp
@@ -1,6 +1,7 @@
 #include "peridotwheel/gateway/extra_attempt_budget.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace peridotwheel {
 
@@ -14,13 +15,15 @@
 } // namespace
 
 extra_attempt_budget::extra_attempt_budget(const extra_attempt_limits &limits,
-                                           time_point processStart)
+                                           time_point processStart, fraction_hook fraction)
     : m_limits(limits)
+    , m_fraction(std::move(fraction))
     // The buckets span one bucket more than the window, since the oldest one is only partly within
     // it.
     , m_bucketDuration(limits.window / static_cast<int>(bucketCount - 1))
     , m_startedAt(processStart)
     , m_bucketNumber(static_cast<std::uint64_t>(processStart.time_since_epoch() / m_bucketDuration))
+    , m_roundUpFrom(m_fraction())
 {
 }
 
@@ -56,8 +59,10 @@
 bool extra_attempt_budget::tryTake(time_point now, std::size_t instances, double reservedShare)
 {
     const double all = allowance(now, instances);
-    if (all * (1 - reservedShare) - m_extra < 1)
+    const double left = all * (1 - reservedShare) - m_extra;
+    if (left <= 0 || left < m_roundUpFrom)
         return false;
+    m_roundUpFrom = m_fraction();
     ++current().extra;
     ++m_extra;
     return true;
--- a/lib/gateway/gateway_state.cpp
+++ b/lib/gateway/gateway_state.cpp
@@ -116,7 +116,8 @@
 {
     service_group_ptr &group = groups[name];
     if (!group)
-        group = std::make_shared<service_group>(name, options.extraAttempts, m_startedAt);
+        group = std::make_shared<service_group>(name, options.extraAttempts, m_startedAt,
+                                                [this] { return random.fraction(); });
     return group;
 }
 
--- a/lib/gateway/gateway_state.h
+++ b/lib/gateway/gateway_state.h
@@ -25,9 +25,10 @@
 /// The servers of one service and their common budget of extra attempts.
 struct service_group
 {
-    service_group(service_name n, const extra_attempt_limits &limits, time_point processStart)
+    service_group(service_name n, const extra_attempt_limits &limits, time_point processStart,
+                  extra_attempt_budget::fraction_hook fraction)
         : name(std::move(n))
-        , extra(limits, processStart)
+        , extra(limits, processStart, std::move(fraction))
     {
     }
 
--- a/unittests/gateway/decisions_test.cpp
+++ b/unittests/gateway/decisions_test.cpp
@@ -228,14 +228,48 @@
     EXPECT_FALSE(meetsMinCoverage({10, 0, 0, 0, 0.0}));
 }
 
+namespace {
+
+double alwaysRoundDown()
+{
+    return 1;
+}
+
+} // namespace
+
+// Instances of a large fleet have less than one attempt each, and sent none for 10 s after a start.
+TEST(extra_attempt_budget, isUsedByALargeFleetAfterAStart)
+{
+    constexpr std::size_t instances = 295;
+    const extra_attempt_limits limits{0.2, 630, seconds(10)};
+    random_source random(17);
+    std::size_t requests = 0;
+    std::size_t extra = 0;
+    std::vector<extra_attempt_budget> budgets;
+    for (std::size_t i = 0; i < instances; ++i)
+        budgets.emplace_back(limits, start, [&random] { return random.fraction(); });
+    // 96 requests a second over all instances, each of which wants an extra attempt.
+    for (int i = 0; i < 960; ++i) {
+        const time_point now = start + milliseconds(10 * i);
+        extra_attempt_budget &budget = budgets[random.below(instances)];
+        budget.onRequest(now);
+        ++requests;
+        extra += budget.tryTake(now, instances) ? 1 : 0;
+    }
+    EXPECT_LE(static_cast<double>(extra), limits.ratio * static_cast<double>(requests));
+    EXPECT_GE(static_cast<double>(extra), 0.7 * limits.ratio * static_cast<double>(requests));
+}
+
 // The budget is shared by all instances and must hold in every window, however uneven their load
 // is.
 TEST(extra_attempt_budget, keepTheSharedBoundUnderUnevenLoad)
 {
     constexpr std::size_t instances = 9;
     const extra_attempt_limits limits{0.2, 58, seconds(10)};
-    std::vector<extra_attempt_budget> budgets(instances, extra_attempt_budget(limits, start));
     random_source random(17);
+    std::vector<extra_attempt_budget> budgets(
+            instances,
+            extra_attempt_budget(limits, start, [&random] { return random.fraction(); }));
     std::deque<std::pair<time_point, bool>> events;
     std::size_t requests = 0;
     std::size_t extra = 0;
@@ -266,7 +300,7 @@
 // A restarted process cannot tell how much of the budget its predecessor has used.
 TEST(extra_attempt_budget, withholdTheConstantShareAfterAStart)
 {
-    extra_attempt_budget budget({0.2, 58, seconds(10)}, start);
+    extra_attempt_budget budget({0.2, 58, seconds(10)}, start, alwaysRoundDown);
     EXPECT_FALSE(budget.tryTake(start + seconds(1), 1));
     EXPECT_TRUE(budget.tryTake(start + seconds(11), 1));
 }
@@ -274,14 +308,14 @@
 // An instance that wrongly counted itself as the only one would use the shares of all others too.
 TEST(extra_attempt_budget, withholdTheConstantShareWhileTheInstancesAreUnknown)
 {
-    extra_attempt_budget budget({0.2, 58, seconds(10)}, start);
+    extra_attempt_budget budget({0.2, 58, seconds(10)}, start, alwaysRoundDown);
     EXPECT_FALSE(budget.tryTake(start + seconds(20), 0));
 }
 
 // When the budget runs short, the reserved part must remain for more urgent work.
 TEST(extra_attempt_budget, keepTheReserveOfMoreUrgentWork)
 {
-    extra_attempt_budget budget({0.2, 10, seconds(10)}, start);
+    extra_attempt_budget budget({0.2, 10, seconds(10)}, start, alwaysRoundDown);
     const time_point now = start + seconds(20);
     int low = 0;
     while (budget.tryTake(now, 1, 0.5))
