Compress the lists in views, and send them within a share of the link

What callers saw: four seconds without service after a loss of power of all instances, and refusals for seconds after many servers or instances had changed. Cause: after a start, each instance of a data centre requests the list of all servers from the one that watches the store; 49 lists of 170 KB need 3.3 s of a link of 20 Mbit/s, and each is given up after 0.6 s and sent again whole, so that none arrives. The entries of servers that join together, and the list of all instances at each change of one, go the same way. Change: long lists are compressed, once for all instances that ask between two changes, and take at most 0.4 of the link. Who gets none is told an age that it does not adopt, and so asks another instance as well, which passes the list on. An instance without servers asks as often as one without a configuration. Instances of earlier versions get plain lists as before.

--- a/include/peridotwheel/gateway/cluster_view.h
+++ b/include/peridotwheel/gateway/cluster_view.h
@@ -28,6 +28,14 @@
     std::function<result<backend_record>(const platform_object &)> readServer;
 };
 
+/// A list of store objects in the compressed form in which instances send it to each other.
+struct compressed_objects
+{
+    std::string data;
+    /// Size before compression.
+    std::size_t textBytes = 0;
+};
+
 /// The store objects that a view was built from, in the form in which another instance merges them.
 struct view_snapshot
 {
@@ -47,6 +55,9 @@
     /// Revision of the store up to which the instances are known.
     object_version instancesRevision;
     std::vector<platform_object> instances;
+    /// If set, these replace `servers` and `instances` in the encoded view.
+    std::shared_ptr<const compressed_objects> compressedServers;
+    std::shared_ptr<const compressed_objects> compressedInstances;
     /// Time since the store was last read for this view.
     duration age{};
     /// Combined server measurements of the instances of the data centre; not part of the
--- a/lib/gateway/configuration_source.cpp
+++ b/lib/gateway/configuration_source.cpp
@@ -8,17 +8,12 @@
 
 /// Share of the link's bandwidth that chunks may take.
 constexpr double linkShare = 0.5;
-/// After a pause, as many bytes may be sent at once as otherwise in this time.
-constexpr duration burstDuration = milliseconds(100);
 constexpr std::size_t maxHolders = 4;
 
 } // namespace
 
 configuration_source::configuration_source(byte_rate link, time_point now)
-    : m_rate(linkShare * link.bytesPerSecond())
-    , m_burstBytes(std::max<double>(m_rate.bytesIn(burstDuration), chunkBytes))
-    , m_availableBytes(m_burstBytes)
-    , m_availableAt(now)
+    : m_link(link, linkShare, chunkBytes, now)
 {
 }
 
@@ -67,18 +62,6 @@
     return m_newest && m_newest->version > request.known ? &*m_newest : nullptr;
 }
 
-bool configuration_source::takeBandwidth(std::size_t bytes, time_point now)
-{
-    m_availableBytes =
-            std::min(m_burstBytes, m_availableBytes + m_rate.bytesIn(now - m_availableAt));
-    m_availableAt = now;
-    const auto needed = static_cast<double>(bytes);
-    if (m_availableBytes < needed)
-        return false;
-    m_availableBytes -= needed;
-    return true;
-}
-
 configuration_reply configuration_source::answer(const configuration_request &request,
                                                  time_point now)
 {
@@ -95,7 +78,7 @@
     const bool continues = request.document == chosen->checksum;
     reply.offset = continues ? std::min(request.offset, reply.documentBytes) : 0;
     const std::size_t bytes = std::min(chunkBytes, reply.documentBytes - reply.offset);
-    if (takeBandwidth(bytes, now))
+    if (m_link.take(bytes, now))
         reply.chunk = chosen->compressed.substr(reply.offset, bytes);
     if (chosen == &*m_newest)
         reply.holders.assign(m_holders.begin(), m_holders.end());
--- a/lib/gateway/configuration_source.h
+++ b/lib/gateway/configuration_source.h
@@ -2,6 +2,7 @@
 #define PERIDOTWHEEL_LIB_GATEWAY_CONFIGURATION_SOURCE_H
 
 #include "configuration_document.h"
+#include "link_share.h"
 #include "peridotwheel/support/units.h"
 
 #include <cstddef>
@@ -35,12 +36,8 @@
 
 private:
     const configuration_document *chosenFor(const configuration_request &request) const;
-    bool takeBandwidth(std::size_t bytes, time_point now);
 
-    byte_rate m_rate;
-    double m_burstBytes;
-    double m_availableBytes;
-    time_point m_availableAt;
+    link_share m_link;
     std::optional<configuration_document> m_newest;
     /// Kept for instances that have received a part of it.
     std::optional<configuration_document> m_previous;
--- a/lib/gateway/view_codec.cpp
+++ b/lib/gateway/view_codec.cpp
@@ -1,6 +1,7 @@
 #include "view_codec.h"
 
 #include "peer_types.h"
+#include "peridotwheel/support/compression.h"
 #include "peridotwheel/support/endpoint_text.h"
 #include "thrift_text.h"
 
@@ -26,6 +27,29 @@
     return {{kind, in.name}, object_version(static_cast<std::uint64_t>(in.version)), in.value};
 }
 
+wire::CompressedObjects toWire(const compressed_objects &list)
+{
+    wire::CompressedObjects out;
+    out.data = list.data;
+    out.textBytes = static_cast<std::int32_t>(list.textBytes);
+    return out;
+}
+
+/// Appends the objects of \p in, which are of kind \p kind, to \p out.
+result<void> appendObjects(const wire::CompressedObjects &in, const std::string &kind,
+                           std::vector<platform_object> &out)
+{
+    if (in.textBytes < 0 || static_cast<std::size_t>(in.textBytes) > maxListBytes) {
+        return failure(error_kind::InvalidArgument,
+                       "the size of a list in the view of another instance is invalid");
+    }
+    BOOST_OUTCOME_TRY(text, decompress(in.data, static_cast<std::size_t>(in.textBytes)));
+    BOOST_OUTCOME_TRY(list, decodeThrift<wire::ViewObjects>(text));
+    for (const auto &object : list.objects)
+        out.push_back(fromWire(object, kind));
+    return success();
+}
+
 constexpr double permille = 1000;
 
 std::int32_t toPermille(double value)
@@ -124,6 +148,7 @@
     if (position.reports)
         out.__set_reports(toWire(*position.reports));
     out.__set_fetchesConfiguration(position.fetchesConfiguration);
+    out.__set_readsCompressedLists(position.readsCompressedLists);
     return encodeThrift(out);
 }
 
@@ -139,6 +164,21 @@
     if (in.__isset.reports)
         out.reports = fromWire(in.reports);
     out.fetchesConfiguration = in.__isset.fetchesConfiguration && in.fetchesConfiguration;
+    out.readsCompressedLists = in.__isset.readsCompressedLists && in.readsCompressedLists;
+    return out;
+}
+
+result<compressed_objects> compressObjects(const std::vector<platform_object> &objects)
+{
+    wire::ViewObjects list;
+    list.objects.reserve(objects.size());
+    for (const auto &object : objects)
+        list.objects.push_back(toWire(object));
+    const std::string text = encodeThrift(list);
+    compressed_objects out;
+    out.textBytes = text.size();
+    BOOST_OUTCOME_TRY(data, compress(text));
+    out.data = std::move(data);
     return out;
 }
 
@@ -163,6 +203,10 @@
         out.__set_instancesAt(static_cast<std::int64_t>(snapshot.instancesRevision.value()));
     for (const auto &instance : snapshot.instances)
         out.instances.push_back(toWire(instance));
+    if (snapshot.compressedServers)
+        out.__set_compressedServers(toWire(*snapshot.compressedServers));
+    if (snapshot.compressedInstances)
+        out.__set_compressedInstances(toWire(*snapshot.compressedInstances));
     if (!snapshot.hints.empty())
         out.__set_hints(toWire(snapshot.hints));
     return encodeThrift(out);
@@ -193,6 +237,12 @@
         out.instancesRevision = object_version(static_cast<std::uint64_t>(in.instancesAt));
     for (const auto &instance : in.instances)
         out.instances.push_back(fromWire(instance, kinds.instances));
+    if (in.__isset.compressedServers) {
+        BOOST_OUTCOME_TRYV(appendObjects(in.compressedServers, kinds.servers, out.servers));
+    }
+    if (in.__isset.compressedInstances) {
+        BOOST_OUTCOME_TRYV(appendObjects(in.compressedInstances, kinds.instances, out.instances));
+    }
     if (in.__isset.hints)
         out.hints = fromWire(in.hints);
     return out;
--- a/lib/gateway/view_codec.h
+++ b/lib/gateway/view_codec.h
@@ -22,10 +22,15 @@
     /// Whether the requester fetches configurations separately, in chunks. Earlier versions of the
     /// program do not.
     bool fetchesConfiguration = false;
+    /// Whether the requester reads compressed lists. Earlier versions of the program do not.
+    bool readsCompressedLists = false;
 };
 
 std::string encodePosition(const view_position &position);
 result<view_position> decodePosition(const std::string &text);
+/// Limit on the text of a list that another instance sends.
+constexpr std::size_t maxListBytes = 32 * 1024 * 1024;
+result<compressed_objects> compressObjects(const std::vector<platform_object> &objects);
 std::string encodeSnapshot(const view_snapshot &snapshot);
 /// Object kinds to set on decoded objects, since encoded ones carry only their names.
 struct view_kinds
--- a/lib/gateway/view_exchange.cpp
+++ b/lib/gateway/view_exchange.cpp
@@ -19,7 +19,7 @@
 constexpr duration requestTimeout = milliseconds(600);
 /// Least time between two view requests to instances that showed to be ahead.
 constexpr duration requestBackInterval = milliseconds(200);
-/// Limit on view requests in flight while no configuration is known: one to a seed and one to
+/// Limit on view requests in flight while no view is known: one to a seed and one to
 /// another instance in each of two cycles.
 constexpr int maxRequestsWithoutView = 4;
 /// Least time between requests for the full list of servers, randomised up to twice as long; only
@@ -27,6 +27,10 @@
 /// different times may leave out a change in what they send to a third one, which the full list
 /// corrects.
 constexpr duration fullViewInterval = seconds(8);
+/// Share of the link's bandwidth that lists of servers and instances may take.
+constexpr double listLinkShare = 0.4;
+/// Age of a view without its lists; no requester adopts it.
+constexpr duration withheldAge = std::chrono::hours(1);
 /// Fractions of `applyWithin`. A view older than the first one is older than a watch lasts: its
 /// watcher does not reach the store, and other instances are asked as well. Above the second one
 /// more instances watch.
@@ -53,6 +57,7 @@
                      probe(target, std::move(done));
                  },
                  [this](const member &target) { m_directory.removeLost(target.id); }})
+    , m_listLink(options.link, listLinkShare, 0, loop.now())
     , m_configurationSource(options.link, loop.now())
     , m_configurationFetcher(loop, http, log, view.documents().configurationKind,
                              directory.self().peers, options.seed,
@@ -129,11 +134,15 @@
         if (m_localWatcherFails || m_localWatchers.empty())
             requestFromOtherPeers();
     }
-    const bool hasNoConfiguration = m_view.version().value() == 0;
-    m_timer = m_loop.schedule(hasNoConfiguration ? initialRequestInterval : requestInterval,
+    m_timer = m_loop.schedule(hasView() ? requestInterval : initialRequestInterval,
                               [this] { runCycle(); });
 }
 
+bool view_exchange::hasView() const
+{
+    return m_view.version().value() != 0 && m_view.serversRevision().value() != 0;
+}
+
 endpoint view_exchange::pickRandom(const std::vector<endpoint> &from)
 {
     return from[m_random.below(from.size())];
@@ -180,7 +189,7 @@
     request.path = viewPath;
     request.lane = viewPath;
     request.body = encodePosition({m_view.version(), known, m_directory.revision(), m_self.peers,
-                                   std::move(reports), true});
+                                   std::move(reports), true, true});
     return request;
 }
 
@@ -196,8 +205,7 @@
         return;
     // When a large fleet starts, full views for all instances saturate the links of the few
     // instances that are asked; further requests would only delay each reply.
-    const bool hasNoConfiguration = m_view.version().value() == 0;
-    if (hasNoConfiguration && m_requestsInFlight >= maxRequestsWithoutView)
+    if (!hasView() && m_requestsInFlight >= maxRequestsWithoutView)
         return;
     ++m_requestsInFlight;
     const auto asked = isLocalWatcher ? makeRequest(nextBaseRevision(), m_reports.take())
@@ -295,6 +303,8 @@
         all.instancesRevision = m_directory.revision();
         all.instances = m_directory.objects();
     }
+    if (position.readsCompressedLists)
+        limitLists(all);
     if (position.reports) {
         m_reportPool.add(*position.reports, m_loop.now());
         all.hints = m_reportPool.hints(m_loop.now());
@@ -302,6 +312,25 @@
     client.reply({200, {}, encodeSnapshot(all)});
 }
 
+void view_exchange::limitLists(view_snapshot &view)
+{
+    m_compressor.compress(view);
+    std::size_t bytes = 0;
+    for (const auto &list : {view.compressedServers, view.compressedInstances})
+        bytes += list ? list->data.size() : 0;
+    if (bytes == 0 || m_listLink.take(bytes, m_loop.now()))
+        return;
+    view.age = withheldAge;
+    view.serversRevision = object_version();
+    view.serversSince.reset();
+    view.servers.clear();
+    view.removedServers.clear();
+    view.compressedServers.reset();
+    view.instancesRevision = object_version();
+    view.instances.clear();
+    view.compressedInstances.reset();
+}
+
 void view_exchange::offerConfiguration()
 {
     if (!m_view.configuration())
--- a/lib/gateway/view_exchange.h
+++ b/lib/gateway/view_exchange.h
@@ -3,6 +3,7 @@
 
 #include "configuration_fetcher.h"
 #include "configuration_source.h"
+#include "link_share.h"
 #include "member_sweeper.h"
 #include "peridotwheel/gateway/cluster_view.h"
 #include "peridotwheel/http/http_client.h"
@@ -11,6 +12,7 @@
 #include "peridotwheel/support/random_source.h"
 #include "report_aggregator.h"
 #include "view_codec.h"
+#include "view_compressor.h"
 
 #include <functional>
 #include <memory>
@@ -64,8 +66,13 @@
     /// Replies with the view. If the requester's view is newer and the one here is stale, also
     /// requests the requester's view.
     void sendView(const view_position &position, http_responder &client);
+    /// Leaves the lists out of \p view if this instance has no bandwidth to spare for them. The
+    /// requester then asks another instance as well.
+    void limitLists(view_snapshot &view);
     void sendConfiguration(const configuration_request &request, http_responder &client);
     void offerConfiguration();
+    /// Returns whether a configuration and a list of servers are known.
+    bool hasView() const;
     /// Returns the age of the view, or the time for which its configuration has been outdated.
     duration viewAge() const;
     void runCycle();
@@ -111,6 +118,9 @@
     time_point m_nextFullView{};
     bool m_localWatcherFails = false;
     member_sweeper m_sweeper;
+    view_compressor m_compressor;
+    /// Bandwidth for compressed lists.
+    link_share m_listLink;
     configuration_source m_configurationSource;
     configuration_fetcher m_configurationFetcher;
     report_hooks m_reports;
--- a/lib/peer/gen/peer_types.cpp
+++ b/lib/peer/gen/peer_types.cpp
@@ -2005,6 +2005,11 @@
   this->fetchesConfiguration = val;
 __isset.fetchesConfiguration = true;
 }
+
+void ViewRequest::__set_readsCompressedLists(const bool val) {
+  this->readsCompressedLists = val;
+__isset.readsCompressedLists = true;
+}
 std::ostream& operator<<(std::ostream& out, const ViewRequest& obj)
 {
   obj.printTo(out);
@@ -2096,6 +2101,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->readsCompressedLists);
+          this->__isset.readsCompressedLists = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2154,6 +2167,11 @@
     xfer += oprot->writeBool(this->fetchesConfiguration);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.readsCompressedLists) {
+    xfer += oprot->writeFieldBegin("readsCompressedLists", ::apache::thrift::protocol::T_BOOL, 7);
+    xfer += oprot->writeBool(this->readsCompressedLists);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2167,6 +2185,7 @@
   swap(a.askerAt, b.askerAt);
   swap(a.reports, b.reports);
   swap(a.fetchesConfiguration, b.fetchesConfiguration);
+  swap(a.readsCompressedLists, b.readsCompressedLists);
   swap(a.__isset, b.__isset);
 }
 
@@ -2177,6 +2196,7 @@
   askerAt = other66.askerAt;
   reports = other66.reports;
   fetchesConfiguration = other66.fetchesConfiguration;
+  readsCompressedLists = other66.readsCompressedLists;
   __isset = other66.__isset;
 }
 ViewRequest& ViewRequest::operator=(const ViewRequest& other67) {
@@ -2186,6 +2206,7 @@
   askerAt = other67.askerAt;
   reports = other67.reports;
   fetchesConfiguration = other67.fetchesConfiguration;
+  readsCompressedLists = other67.readsCompressedLists;
   __isset = other67.__isset;
   return *this;
 }
@@ -2198,6 +2219,7 @@
   out << ", " << "askerAt="; (__isset.askerAt ? (out << to_string(askerAt)) : (out << "<null>"));
   out << ", " << "reports="; (__isset.reports ? (out << to_string(reports)) : (out << "<null>"));
   out << ", " << "fetchesConfiguration="; (__isset.fetchesConfiguration ? (out << to_string(fetchesConfiguration)) : (out << "<null>"));
+  out << ", " << "readsCompressedLists="; (__isset.readsCompressedLists ? (out << to_string(readsCompressedLists)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2712,6 +2734,233 @@
 }
 
 
+ViewObjects::~ViewObjects() noexcept {
+}
+
+
+void ViewObjects::__set_objects(const std::vector<ViewObject> & val) {
+  this->objects = val;
+}
+std::ostream& operator<<(std::ostream& out, const ViewObjects& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ViewObjects::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_objects = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->objects.clear();
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->objects.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
+            {
+              xfer += this->objects[_i78].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_objects = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_objects)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ViewObjects::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ViewObjects");
+
+  xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
+    std::vector<ViewObject> ::const_iterator _iter79;
+    for (_iter79 = this->objects.begin(); _iter79 != this->objects.end(); ++_iter79)
+    {
+      xfer += (*_iter79).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ViewObjects &a, ViewObjects &b) {
+  using ::std::swap;
+  swap(a.objects, b.objects);
+}
+
+ViewObjects::ViewObjects(const ViewObjects& other80) {
+  objects = other80.objects;
+}
+ViewObjects& ViewObjects::operator=(const ViewObjects& other81) {
+  objects = other81.objects;
+  return *this;
+}
+void ViewObjects::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ViewObjects(";
+  out << "objects=" << to_string(objects);
+  out << ")";
+}
+
+
+CompressedObjects::~CompressedObjects() noexcept {
+}
+
+
+void CompressedObjects::__set_data(const std::string& val) {
+  this->data = val;
+}
+
+void CompressedObjects::__set_textBytes(const int32_t val) {
+  this->textBytes = val;
+}
+std::ostream& operator<<(std::ostream& out, const CompressedObjects& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CompressedObjects::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_data = false;
+  bool isset_textBytes = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->data);
+          isset_data = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->textBytes);
+          isset_textBytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_data)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_textBytes)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t CompressedObjects::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CompressedObjects");
+
+  xfer += oprot->writeFieldBegin("data", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeBinary(this->data);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("textBytes", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->textBytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CompressedObjects &a, CompressedObjects &b) {
+  using ::std::swap;
+  swap(a.data, b.data);
+  swap(a.textBytes, b.textBytes);
+}
+
+CompressedObjects::CompressedObjects(const CompressedObjects& other82) {
+  data = other82.data;
+  textBytes = other82.textBytes;
+}
+CompressedObjects& CompressedObjects::operator=(const CompressedObjects& other83) {
+  data = other83.data;
+  textBytes = other83.textBytes;
+  return *this;
+}
+void CompressedObjects::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CompressedObjects(";
+  out << "data=" << to_string(data);
+  out << ", " << "textBytes=" << to_string(textBytes);
+  out << ")";
+}
+
+
 ViewReply::~ViewReply() noexcept {
 }
 
@@ -2766,6 +3015,16 @@
   this->configurationVersion = val;
 __isset.configurationVersion = true;
 }
+
+void ViewReply::__set_compressedServers(const CompressedObjects& val) {
+  this->compressedServers = val;
+__isset.compressedServers = true;
+}
+
+void ViewReply::__set_compressedInstances(const CompressedObjects& val) {
+  this->compressedInstances = val;
+__isset.compressedInstances = true;
+}
 std::ostream& operator<<(std::ostream& out, const ViewReply& obj)
 {
   obj.printTo(out);
@@ -2818,14 +3077,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size74;
-            ::apache::thrift::protocol::TType _etype77;
-            xfer += iprot->readListBegin(_etype77, _size74);
-            this->servers.resize(_size74);
-            uint32_t _i78;
-            for (_i78 = 0; _i78 < _size74; ++_i78)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->servers.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += this->servers[_i78].read(iprot);
+              xfer += this->servers[_i88].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2854,14 +3113,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size79;
-            ::apache::thrift::protocol::TType _etype82;
-            xfer += iprot->readListBegin(_etype82, _size79);
-            this->instances.resize(_size79);
-            uint32_t _i83;
-            for (_i83 = 0; _i83 < _size79; ++_i83)
+            uint32_t _size89;
+            ::apache::thrift::protocol::TType _etype92;
+            xfer += iprot->readListBegin(_etype92, _size89);
+            this->instances.resize(_size89);
+            uint32_t _i93;
+            for (_i93 = 0; _i93 < _size89; ++_i93)
             {
-              xfer += this->instances[_i83].read(iprot);
+              xfer += this->instances[_i93].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2882,14 +3141,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->hints.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->hints.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->hints.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
             {
-              xfer += this->hints[_i88].read(iprot);
+              xfer += this->hints[_i98].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2910,14 +3169,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->goneServers.clear();
-            uint32_t _size89;
-            ::apache::thrift::protocol::TType _etype92;
-            xfer += iprot->readListBegin(_etype92, _size89);
-            this->goneServers.resize(_size89);
-            uint32_t _i93;
-            for (_i93 = 0; _i93 < _size89; ++_i93)
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->goneServers.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
             {
-              xfer += iprot->readString(this->goneServers[_i93]);
+              xfer += iprot->readString(this->goneServers[_i103]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2934,6 +3193,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->compressedServers.read(iprot);
+          this->__isset.compressedServers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->compressedInstances.read(iprot);
+          this->__isset.compressedInstances = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2972,10 +3247,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ViewObject> ::const_iterator _iter94;
-    for (_iter94 = this->servers.begin(); _iter94 != this->servers.end(); ++_iter94)
+    std::vector<ViewObject> ::const_iterator _iter104;
+    for (_iter104 = this->servers.begin(); _iter104 != this->servers.end(); ++_iter104)
     {
-      xfer += (*_iter94).write(oprot);
+      xfer += (*_iter104).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2993,10 +3268,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<ViewObject> ::const_iterator _iter95;
-    for (_iter95 = this->instances.begin(); _iter95 != this->instances.end(); ++_iter95)
+    std::vector<ViewObject> ::const_iterator _iter105;
+    for (_iter105 = this->instances.begin(); _iter105 != this->instances.end(); ++_iter105)
     {
-      xfer += (*_iter95).write(oprot);
+      xfer += (*_iter105).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3010,10 +3285,10 @@
     xfer += oprot->writeFieldBegin("hints", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->hints.size()));
-      std::vector<ServerHint> ::const_iterator _iter96;
-      for (_iter96 = this->hints.begin(); _iter96 != this->hints.end(); ++_iter96)
+      std::vector<ServerHint> ::const_iterator _iter106;
+      for (_iter106 = this->hints.begin(); _iter106 != this->hints.end(); ++_iter106)
       {
-        xfer += (*_iter96).write(oprot);
+        xfer += (*_iter106).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3028,10 +3303,10 @@
     xfer += oprot->writeFieldBegin("goneServers", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->goneServers.size()));
-      std::vector<std::string> ::const_iterator _iter97;
-      for (_iter97 = this->goneServers.begin(); _iter97 != this->goneServers.end(); ++_iter97)
+      std::vector<std::string> ::const_iterator _iter107;
+      for (_iter107 = this->goneServers.begin(); _iter107 != this->goneServers.end(); ++_iter107)
       {
-        xfer += oprot->writeString((*_iter97));
+        xfer += oprot->writeString((*_iter107));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3042,6 +3317,16 @@
     xfer += oprot->writeI64(this->configurationVersion);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.compressedServers) {
+    xfer += oprot->writeFieldBegin("compressedServers", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->compressedServers.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.compressedInstances) {
+    xfer += oprot->writeFieldBegin("compressedInstances", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->compressedInstances.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3060,36 +3345,42 @@
   swap(a.serversSince, b.serversSince);
   swap(a.goneServers, b.goneServers);
   swap(a.configurationVersion, b.configurationVersion);
+  swap(a.compressedServers, b.compressedServers);
+  swap(a.compressedInstances, b.compressedInstances);
   swap(a.__isset, b.__isset);
 }
 
-ViewReply::ViewReply(const ViewReply& other98) {
-  configuration = other98.configuration;
-  serversAt = other98.serversAt;
-  servers = other98.servers;
-  ageMs = other98.ageMs;
-  instancesAt = other98.instancesAt;
-  instances = other98.instances;
-  missingForMs = other98.missingForMs;
-  hints = other98.hints;
-  serversSince = other98.serversSince;
-  goneServers = other98.goneServers;
-  configurationVersion = other98.configurationVersion;
-  __isset = other98.__isset;
-}
-ViewReply& ViewReply::operator=(const ViewReply& other99) {
-  configuration = other99.configuration;
-  serversAt = other99.serversAt;
-  servers = other99.servers;
-  ageMs = other99.ageMs;
-  instancesAt = other99.instancesAt;
-  instances = other99.instances;
-  missingForMs = other99.missingForMs;
-  hints = other99.hints;
-  serversSince = other99.serversSince;
-  goneServers = other99.goneServers;
-  configurationVersion = other99.configurationVersion;
-  __isset = other99.__isset;
+ViewReply::ViewReply(const ViewReply& other108) {
+  configuration = other108.configuration;
+  serversAt = other108.serversAt;
+  servers = other108.servers;
+  ageMs = other108.ageMs;
+  instancesAt = other108.instancesAt;
+  instances = other108.instances;
+  missingForMs = other108.missingForMs;
+  hints = other108.hints;
+  serversSince = other108.serversSince;
+  goneServers = other108.goneServers;
+  configurationVersion = other108.configurationVersion;
+  compressedServers = other108.compressedServers;
+  compressedInstances = other108.compressedInstances;
+  __isset = other108.__isset;
+}
+ViewReply& ViewReply::operator=(const ViewReply& other109) {
+  configuration = other109.configuration;
+  serversAt = other109.serversAt;
+  servers = other109.servers;
+  ageMs = other109.ageMs;
+  instancesAt = other109.instancesAt;
+  instances = other109.instances;
+  missingForMs = other109.missingForMs;
+  hints = other109.hints;
+  serversSince = other109.serversSince;
+  goneServers = other109.goneServers;
+  configurationVersion = other109.configurationVersion;
+  compressedServers = other109.compressedServers;
+  compressedInstances = other109.compressedInstances;
+  __isset = other109.__isset;
   return *this;
 }
 void ViewReply::printTo(std::ostream& out) const {
@@ -3106,6 +3397,8 @@
   out << ", " << "serversSince="; (__isset.serversSince ? (out << to_string(serversSince)) : (out << "<null>"));
   out << ", " << "goneServers="; (__isset.goneServers ? (out << to_string(goneServers)) : (out << "<null>"));
   out << ", " << "configurationVersion="; (__isset.configurationVersion ? (out << to_string(configurationVersion)) : (out << "<null>"));
+  out << ", " << "compressedServers="; (__isset.compressedServers ? (out << to_string(compressedServers)) : (out << "<null>"));
+  out << ", " << "compressedInstances="; (__isset.compressedInstances ? (out << to_string(compressedInstances)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3247,17 +3540,17 @@
   swap(a.askerAt, b.askerAt);
 }
 
-ConfigurationRequest::ConfigurationRequest(const ConfigurationRequest& other100) {
-  knownVersion = other100.knownVersion;
-  documentChecksum = other100.documentChecksum;
-  offset = other100.offset;
-  askerAt = other100.askerAt;
+ConfigurationRequest::ConfigurationRequest(const ConfigurationRequest& other110) {
+  knownVersion = other110.knownVersion;
+  documentChecksum = other110.documentChecksum;
+  offset = other110.offset;
+  askerAt = other110.askerAt;
 }
-ConfigurationRequest& ConfigurationRequest::operator=(const ConfigurationRequest& other101) {
-  knownVersion = other101.knownVersion;
-  documentChecksum = other101.documentChecksum;
-  offset = other101.offset;
-  askerAt = other101.askerAt;
+ConfigurationRequest& ConfigurationRequest::operator=(const ConfigurationRequest& other111) {
+  knownVersion = other111.knownVersion;
+  documentChecksum = other111.documentChecksum;
+  offset = other111.offset;
+  askerAt = other111.askerAt;
   return *this;
 }
 void ConfigurationRequest::printTo(std::ostream& out) const {
@@ -3415,14 +3708,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holders.clear();
-            uint32_t _size102;
-            ::apache::thrift::protocol::TType _etype105;
-            xfer += iprot->readListBegin(_etype105, _size102);
-            this->holders.resize(_size102);
-            uint32_t _i106;
-            for (_i106 = 0; _i106 < _size102; ++_i106)
+            uint32_t _size112;
+            ::apache::thrift::protocol::TType _etype115;
+            xfer += iprot->readListBegin(_etype115, _size112);
+            this->holders.resize(_size112);
+            uint32_t _i116;
+            for (_i116 = 0; _i116 < _size112; ++_i116)
             {
-              xfer += iprot->readString(this->holders[_i106]);
+              xfer += iprot->readString(this->holders[_i116]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3501,10 +3794,10 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->holders.size()));
-    std::vector<std::string> ::const_iterator _iter107;
-    for (_iter107 = this->holders.begin(); _iter107 != this->holders.end(); ++_iter107)
+    std::vector<std::string> ::const_iterator _iter117;
+    for (_iter117 = this->holders.begin(); _iter117 != this->holders.end(); ++_iter117)
     {
-      xfer += oprot->writeString((*_iter107));
+      xfer += oprot->writeString((*_iter117));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3528,27 +3821,27 @@
   swap(a.holders, b.holders);
 }
 
-ConfigurationReply::ConfigurationReply(const ConfigurationReply& other108) {
-  version = other108.version;
-  name = other108.name;
-  revision = other108.revision;
-  textBytes = other108.textBytes;
-  documentBytes = other108.documentBytes;
-  documentChecksum = other108.documentChecksum;
-  offset = other108.offset;
-  chunk = other108.chunk;
-  holders = other108.holders;
-}
-ConfigurationReply& ConfigurationReply::operator=(const ConfigurationReply& other109) {
-  version = other109.version;
-  name = other109.name;
-  revision = other109.revision;
-  textBytes = other109.textBytes;
-  documentBytes = other109.documentBytes;
-  documentChecksum = other109.documentChecksum;
-  offset = other109.offset;
-  chunk = other109.chunk;
-  holders = other109.holders;
+ConfigurationReply::ConfigurationReply(const ConfigurationReply& other118) {
+  version = other118.version;
+  name = other118.name;
+  revision = other118.revision;
+  textBytes = other118.textBytes;
+  documentBytes = other118.documentBytes;
+  documentChecksum = other118.documentChecksum;
+  offset = other118.offset;
+  chunk = other118.chunk;
+  holders = other118.holders;
+}
+ConfigurationReply& ConfigurationReply::operator=(const ConfigurationReply& other119) {
+  version = other119.version;
+  name = other119.name;
+  revision = other119.revision;
+  textBytes = other119.textBytes;
+  documentBytes = other119.documentBytes;
+  documentChecksum = other119.documentChecksum;
+  offset = other119.offset;
+  chunk = other119.chunk;
+  holders = other119.holders;
   return *this;
 }
 void ConfigurationReply::printTo(std::ostream& out) const {
--- a/lib/peer/gen/peer_types.h
+++ b/lib/peer/gen/peer_types.h
@@ -47,6 +47,10 @@
 
 class ViewObject;
 
+class ViewObjects;
+
+class CompressedObjects;
+
 class ViewReply;
 
 class ConfigurationRequest;
@@ -665,10 +669,11 @@
 std::ostream& operator<<(std::ostream& out, const RelayCancel& obj);
 
 typedef struct _ViewRequest__isset {
-  _ViewRequest__isset() : askerAt(false), reports(false), fetchesConfiguration(false) {}
+  _ViewRequest__isset() : askerAt(false), reports(false), fetchesConfiguration(false), readsCompressedLists(false) {}
   bool askerAt :1;
   bool reports :1;
   bool fetchesConfiguration :1;
+  bool readsCompressedLists :1;
 } _ViewRequest__isset;
 
 class ViewRequest : public virtual ::apache::thrift::TBase {
@@ -681,7 +686,8 @@
                 serversAt(0),
                 instancesAt(0),
                 askerAt(),
-                fetchesConfiguration(0) {
+                fetchesConfiguration(0),
+                readsCompressedLists(0) {
   }
 
   virtual ~ViewRequest() noexcept;
@@ -691,6 +697,7 @@
   std::string askerAt;
   std::vector<ServerReport>  reports;
   bool fetchesConfiguration;
+  bool readsCompressedLists;
 
   _ViewRequest__isset __isset;
 
@@ -706,6 +713,8 @@
 
   void __set_fetchesConfiguration(const bool val);
 
+  void __set_readsCompressedLists(const bool val);
+
   bool operator == (const ViewRequest & rhs) const
   {
     if (!(configurationVersion == rhs.configurationVersion))
@@ -726,6 +735,10 @@
       return false;
     else if (__isset.fetchesConfiguration && !(fetchesConfiguration == rhs.fetchesConfiguration))
       return false;
+    if (__isset.readsCompressedLists != rhs.__isset.readsCompressedLists)
+      return false;
+    else if (__isset.readsCompressedLists && !(readsCompressedLists == rhs.readsCompressedLists))
+      return false;
     return true;
   }
   bool operator != (const ViewRequest &rhs) const {
@@ -931,8 +944,87 @@
 
 std::ostream& operator<<(std::ostream& out, const ViewObject& obj);
 
+
+class ViewObjects : public virtual ::apache::thrift::TBase {
+ public:
+
+  ViewObjects(const ViewObjects&);
+  ViewObjects& operator=(const ViewObjects&);
+  ViewObjects() noexcept {
+  }
+
+  virtual ~ViewObjects() noexcept;
+  std::vector<ViewObject>  objects;
+
+  void __set_objects(const std::vector<ViewObject> & val);
+
+  bool operator == (const ViewObjects & rhs) const
+  {
+    if (!(objects == rhs.objects))
+      return false;
+    return true;
+  }
+  bool operator != (const ViewObjects &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ViewObjects & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ViewObjects &a, ViewObjects &b);
+
+std::ostream& operator<<(std::ostream& out, const ViewObjects& obj);
+
+
+class CompressedObjects : public virtual ::apache::thrift::TBase {
+ public:
+
+  CompressedObjects(const CompressedObjects&);
+  CompressedObjects& operator=(const CompressedObjects&);
+  CompressedObjects() noexcept
+                    : data(),
+                      textBytes(0) {
+  }
+
+  virtual ~CompressedObjects() noexcept;
+  std::string data;
+  int32_t textBytes;
+
+  void __set_data(const std::string& val);
+
+  void __set_textBytes(const int32_t val);
+
+  bool operator == (const CompressedObjects & rhs) const
+  {
+    if (!(data == rhs.data))
+      return false;
+    if (!(textBytes == rhs.textBytes))
+      return false;
+    return true;
+  }
+  bool operator != (const CompressedObjects &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CompressedObjects & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CompressedObjects &a, CompressedObjects &b);
+
+std::ostream& operator<<(std::ostream& out, const CompressedObjects& obj);
+
 typedef struct _ViewReply__isset {
-  _ViewReply__isset() : configuration(false), serversAt(false), instancesAt(false), hints(false), serversSince(false), goneServers(false), configurationVersion(false) {}
+  _ViewReply__isset() : configuration(false), serversAt(false), instancesAt(false), hints(false), serversSince(false), goneServers(false), configurationVersion(false), compressedServers(false), compressedInstances(false) {}
   bool configuration :1;
   bool serversAt :1;
   bool instancesAt :1;
@@ -940,6 +1032,8 @@
   bool serversSince :1;
   bool goneServers :1;
   bool configurationVersion :1;
+  bool compressedServers :1;
+  bool compressedInstances :1;
 } _ViewReply__isset;
 
 class ViewReply : public virtual ::apache::thrift::TBase {
@@ -968,6 +1062,8 @@
   int64_t serversSince;
   std::vector<std::string>  goneServers;
   int64_t configurationVersion;
+  CompressedObjects compressedServers;
+  CompressedObjects compressedInstances;
 
   _ViewReply__isset __isset;
 
@@ -993,6 +1089,10 @@
 
   void __set_configurationVersion(const int64_t val);
 
+  void __set_compressedServers(const CompressedObjects& val);
+
+  void __set_compressedInstances(const CompressedObjects& val);
+
   bool operator == (const ViewReply & rhs) const
   {
     if (__isset.configuration != rhs.__isset.configuration)
@@ -1031,6 +1131,14 @@
       return false;
     else if (__isset.configurationVersion && !(configurationVersion == rhs.configurationVersion))
       return false;
+    if (__isset.compressedServers != rhs.__isset.compressedServers)
+      return false;
+    else if (__isset.compressedServers && !(compressedServers == rhs.compressedServers))
+      return false;
+    if (__isset.compressedInstances != rhs.__isset.compressedInstances)
+      return false;
+    else if (__isset.compressedInstances && !(compressedInstances == rhs.compressedInstances))
+      return false;
     return true;
   }
   bool operator != (const ViewReply &rhs) const {
--- a/proto/peer.thrift
+++ b/proto/peer.thrift
@@ -102,6 +102,8 @@
   // Set if the sender fetches configurations by ConfigurationRequest, so that the reply need not
   // contain one.
   6: optional bool fetchesConfiguration
+  // Set if the sender reads compressed lists.
+  7: optional bool readsCompressedLists
 }
 
 // Measurements of one server by one instance since its last report.
@@ -132,6 +134,16 @@
   3: required string value
 }
 
+struct ViewObjects {
+  1: required list<ViewObject> objects
+}
+
+// A ViewObjects in TCompactProtocol, compressed with zlib, and its size before.
+struct CompressedObjects {
+  1: required binary data
+  2: required i32 textBytes
+}
+
 // The reply to a ViewRequest. It contains either all instances or none.
 struct ViewReply {
   1: optional ViewObject configuration
@@ -151,6 +163,9 @@
   10: optional list<string> goneServers
   // Version of the configuration in force at the sender.
   11: optional i64 configurationVersion
+  // In place of `servers` and `instances`.
+  12: optional CompressedObjects compressedServers
+  13: optional CompressedObjects compressedInstances
 }
 
 // The body of `POST /peer/configuration`: requests one chunk of the newest configuration, which is
