Check the health of a server on demand during its connect backoff

The condition for connections on demand made health checks wait for the backoff of connections as well, up to 4 s. Also bounds a compressed list at 16 MB, which holds 41,000 entries, and tests the codec, the cache and the link share.

--- a/include/peridotwheel/gateway/backend_server.h
+++ b/include/peridotwheel/gateway/backend_server.h
@@ -190,7 +190,9 @@
     void beginBusyPeriod();
     /// Closes an idle connection that \p spec excludes if no further one may be opened.
     void makeRoomFor(const attempt_spec &spec);
-    /// Returns whether another connection may be opened now.
+    /// Returns whether this instance's part of the server's connections allows another one now.
+    bool hasRoom() const;
+    /// Returns whether a connection for requests may be opened now.
     bool mayOpen() const;
     void openIfNeeded();
     void onOpen(slot &s);
--- a/lib/gateway/backend_server.cpp
+++ b/lib/gateway/backend_server.cpp
@@ -222,11 +222,15 @@
         remove(**it);
 }
 
+bool backend_server::hasRoom() const
+{
+    return m_slots.size() < m_maxConnections &&
+           (!m_isConnectedOnDemand || m_allowance.mayOpen(m_env.loop.now()));
+}
+
 bool backend_server::mayOpen() const
 {
-    const time_point now = m_env.loop.now();
-    return m_slots.size() < m_maxConnections && now >= m_connectAfter &&
-           (!m_isConnectedOnDemand || m_allowance.mayOpen(now));
+    return hasRoom() && m_env.loop.now() >= m_connectAfter;
 }
 
 void backend_server::openIfNeeded()
@@ -527,7 +531,7 @@
     m_nextCheck = now + checkInterval;
     slot *s = idleSlot(false);
     if (s == nullptr) {
-        if (mayOpen())
+        if (hasRoom())
             open(connection_event::OpenedForHealthCheck);
         return;
     }
--- a/lib/gateway/view_codec.h
+++ b/lib/gateway/view_codec.h
@@ -29,7 +29,7 @@
 std::string encodePosition(const view_position &position);
 result<view_position> decodePosition(const std::string &text);
 /// Limit on the text of a list that another instance sends.
-constexpr std::size_t maxListBytes = 32 * 1024 * 1024;
+constexpr std::size_t maxListBytes = 16 * 1024 * 1024;
 result<compressed_objects> compressObjects(const std::vector<platform_object> &objects);
 std::string encodeSnapshot(const view_snapshot &snapshot);
 /// Object kinds to set on decoded objects, since encoded ones carry only their names.
--- a/unittests/gateway/view_sharing_test.cpp
+++ b/unittests/gateway/view_sharing_test.cpp
@@ -1,4 +1,6 @@
+#include "lib/gateway/link_share.h"
 #include "lib/gateway/view_codec.h"
+#include "lib/gateway/view_compressor.h"
 #include "lib/gateway/watcher_selection.h"
 
 #include <gtest/gtest.h>
@@ -109,6 +111,79 @@
     EXPECT_EQ(changes.value().removedServers, view.removedServers);
 }
 
+TEST(view_codec, roundTripsCompressedLists)
+{
+    view_snapshot view;
+    view.serversRevision = object_version(11);
+    view.instancesRevision = object_version(12);
+    constexpr int objects = 400;
+    for (int i = 0; i < objects; ++i) {
+        const auto version = object_version(static_cast<std::uint64_t>(i + 1));
+        view.servers.push_back({{"s", "server-" + std::to_string(i)}, version, R"({"slots":7})"});
+        view.instances.push_back(
+                {{"i", "front-" + std::to_string(i)}, version, R"({"peers":"a"})"});
+    }
+    const std::string plain = encodeSnapshot(view);
+    view_snapshot compressed = view;
+    view_compressor compressor;
+    compressor.compress(compressed);
+    EXPECT_TRUE(compressed.servers.empty());
+    const std::string text = encodeSnapshot(compressed);
+    EXPECT_LT(4 * text.size(), plain.size());
+    const auto read = decodeSnapshot(text, {"c", "s", "i"});
+    ASSERT_TRUE(read) << read.error().message;
+    ASSERT_EQ(read.value().servers.size(), view.servers.size());
+    ASSERT_EQ(read.value().instances.size(), view.instances.size());
+    for (std::size_t i = 0; i < view.servers.size(); ++i) {
+        EXPECT_EQ(read.value().servers[i].key.name, view.servers[i].key.name);
+        EXPECT_EQ(read.value().servers[i].version, view.servers[i].version);
+        EXPECT_EQ(read.value().servers[i].value, view.servers[i].value);
+        EXPECT_EQ(read.value().instances[i].value, view.instances[i].value);
+    }
+}
+
+// A list whose stated size is wrong must be refused and not take memory.
+TEST(view_codec, refusesACompressedListOfAnotherSize)
+{
+    const auto list = compressObjects({{{"s", "a"}, object_version(1), "{}"}});
+    ASSERT_TRUE(list);
+    view_snapshot view;
+    view.serversRevision = object_version(11);
+    for (const std::size_t textBytes : {list.value().textBytes + 1, maxListBytes + 1}) {
+        view.compressedServers = std::make_shared<compressed_objects>(
+                compressed_objects{list.value().data, textBytes});
+        EXPECT_FALSE(decodeSnapshot(encodeSnapshot(view), {"c", "s", "i"}));
+    }
+}
+
+// Two views of different changes must not get the same list.
+TEST(view_compressor, keepsListsOfDifferentChangesApart)
+{
+    view_compressor compressor;
+    const auto listSince = [&compressor](std::uint64_t since, const std::string &value) {
+        view_snapshot view;
+        view.serversRevision = object_version(11);
+        view.serversSince = object_version(since);
+        view.servers.assign(100, {{"s", "a"}, object_version(1), value});
+        compressor.compress(view);
+        return view.compressedServers;
+    };
+    const std::string value(100, 'v');
+    const auto first = listSince(5, value);
+    EXPECT_EQ(listSince(5, value), first);
+    EXPECT_NE(listSince(6, value), first);
+}
+
+// What a long list takes beyond a burst must be missing afterwards.
+TEST(link_share, takesALongListFromTheTimeThatFollows)
+{
+    const time_point start(seconds(1000));
+    link_share link(byte_rate(1000), 0.5, 0, start);
+    EXPECT_TRUE(link.take(500, start));
+    EXPECT_FALSE(link.take(1, start + milliseconds(800)));
+    EXPECT_TRUE(link.take(1, start + milliseconds(1000)));
+}
+
 TEST(view_codec, roundTripsAPosition)
 {
     const view_position position{configuration_version(5), object_version(6), object_version(7)};
