Set no connections aside that no instance could use

Where instances far outnumber a server's connections, as at 5,300 and 25, a quarter of them was not dealt although no instance's part of it is ever enough for an attempt: 17 of 22 were dealt.

--- a/include/peridotwheel/gateway/backend_server.h
+++ b/include/peridotwheel/gateway/backend_server.h
@@ -131,7 +131,7 @@
     void update(const backend_record &record);
     /// Sets how many connections may be open at once, and how many of them may stay open without a
     /// request. An instance without a share of its own opens single ones on demand, \p onDemand of
-    /// them on average.
+    /// them on average, unless that is 0.
     void setConnectionShare(std::uint32_t maxConnections, std::uint32_t standing, double onDemand);
     std::uint32_t standingShare() const { return m_standingShare; }
     /// Returns whether a connection is opened for single attempts only.
--- a/include/peridotwheel/gateway/connection_allowance.h
+++ b/include/peridotwheel/gateway/connection_allowance.h
@@ -18,8 +18,11 @@
 public:
     /// Sets the number of connections that this instance may hold on average, a fraction of one.
     void setPart(double connections, time_point now);
-    /// Returns whether the part is ever enough for an attempt.
-    bool isEnough() const { return limit() >= leastTime; }
+    /// Returns whether a part of \p connections is ever enough for an attempt.
+    static bool isEnough(double connections)
+    {
+        return scaled(savingPeriod, connections) >= leastTime;
+    }
     /// Returns whether a connection may be opened, provided that none is open.
     bool mayOpen(time_point now) const { return available(now) >= leastTime; }
     /// Records that a connection was closed after it had been held for \p held.
@@ -31,7 +34,6 @@
     /// Time over which an unused part is saved up.
     static constexpr duration savingPeriod = seconds(10);
 
-    duration limit() const { return scaled(savingPeriod, m_part); }
     duration available(time_point now) const;
 
     double m_part = 0;
--- a/lib/gateway/backend_server.cpp
+++ b/lib/gateway/backend_server.cpp
@@ -82,7 +82,7 @@
                                         double onDemand)
 {
     m_allowance.setPart(onDemand, m_env.loop.now());
-    m_isConnectedOnDemand = maxConnections == 0 && m_allowance.isEnough();
+    m_isConnectedOnDemand = maxConnections == 0 && onDemand > 0;
     m_maxConnections = m_isConnectedOnDemand ? 1 : maxConnections;
     m_standingShare = standing;
     updateLimitShare();
--- a/lib/gateway/connection_allowance.cpp
+++ b/lib/gateway/connection_allowance.cpp
@@ -19,7 +19,8 @@
 
 duration connection_allowance::available(time_point now) const
 {
-    return std::min(limit(), m_available + scaled(now - m_availableAt, m_part));
+    return std::min(scaled(savingPeriod, m_part),
+                    m_available + scaled(now - m_availableAt, m_part));
 }
 
 } // namespace peridotwheel
--- a/lib/gateway/standing_connections.h
+++ b/lib/gateway/standing_connections.h
@@ -29,7 +29,8 @@
 
 /// Divides \p usable connections among \p instances instances. If these are more than the
 /// connections, some connections are used on demand: an instance that could never reach a server
-/// would have none left for a second attempt while the others of the shard are in trouble.
+/// would have none left for a second attempt while the others of the shard are in trouble. If the
+/// part of an instance is never enough for an attempt, all connections are dealt as shares.
 connection_division divideConnections(std::uint32_t usable, std::size_t instances);
 
 /// A server to which an instance may keep a standing connection.
