--- a/unittests/gateway/view_transfer_test.cpp
+++ b/unittests/gateway/view_transfer_test.cpp
@@ -51,7 +51,7 @@
                                 R"(","zone":"arima-yard","addr":"10.1.64.)" +
                                 std::to_string(i % 250) + R"(:8607","slots":7,"state":"ready",)" +
                                 R"("born":17694600)" + std::to_string(10000 + i) + R"(,"load":0.)" +
-                                std::to_string(random.below(1000)) + R"(,"coldLeftMs":0})");
+                                std::to_string(random.below(1000)) + R"(,"coldRemaining":0})");
         }
         expectedServers += static_cast<std::size_t>(count);
     }
