Percent-encode the names of objects in calls to the store

What callers saw: after a restart of all processes, almost every request was refused while an entry of another writer stood in the list of servers, if the name of the entry had one of the characters & + # % or a blank and the list was longer than a page.

Cause: `store_client` put names into paths and queries as they are. The name of the last entry of a page selects the next page (`after`), so that a reserved character selected the same page again or an earlier one, or made the call invalid; the list failed, and a process that has no older list knows no server. Running processes were not affected, since a watch names no object. In the same way, the removal of an object "a#b" or "a?rev=1" removed the object "a".

Change: `percentEncoded`, which the client of the other platform interface already had for itself, moves to `support`, and both clients use it wherever a kind or a name stands in a path or a query.

--- a/lib/platform/http_platform_client.cpp
+++ b/lib/platform/http_platform_client.cpp
@@ -1,11 +1,9 @@
 #include "peridotwheel/platform/http_platform_client.h"
 
 #include "peridotwheel/platform/call_errors.h"
+#include "peridotwheel/support/uri_text.h"
 #include "platform_json.h"
 
-#include <cstdlib>
-#include <event2/http.h>
-
 namespace peridotwheel {
 
 /// State that calls in flight refer to.
@@ -16,17 +14,9 @@
 
 namespace {
 
-std::string encoded(const std::string &text)
-{
-    char *raw = evhttp_uriencode(text.data(), static_cast<ev_ssize_t>(text.size()), 0);
-    std::string out = raw != nullptr ? raw : "";
-    std::free(raw); // NOLINT(cppcoreguidelines-no-malloc): evhttp allocates with malloc
-    return out;
-}
-
 std::string path(const object_key &key)
 {
-    return "/objects/" + encoded(key.kind) + "/" + encoded(key.name);
+    return "/objects/" + percentEncoded(key.kind) + "/" + percentEncoded(key.name);
 }
 
 write_refusal refusalOf(int status)
@@ -132,7 +122,7 @@
 
 void http_platform_client::list(const std::string &kind, hook<watch_result> done)
 {
-    send(http_method::Get, "/objects/" + encoded(kind), {}, {}, m_options.timeout,
+    send(http_method::Get, "/objects/" + percentEncoded(kind), {}, {}, m_options.timeout,
          [kind, done = std::move(done)](const http_outcome &outcome) {
              if (!isSuccess(outcome))
                  return done(readError(outcome, "objects of kind " + kind));
@@ -145,7 +135,7 @@
 {
     const auto waitMs = std::chrono::duration_cast<milliseconds>(wait).count();
     send(http_method::Get,
-         "/watch/" + encoded(kind) + "?since=" + std::to_string(since.value()) +
+         "/watch/" + percentEncoded(kind) + "?since=" + std::to_string(since.value()) +
                  "&timeoutMs=" + std::to_string(waitMs),
          {}, {}, wait + m_options.watchMargin,
          [kind, done = std::move(done)](const http_outcome &outcome) {
--- a/unittests/support/support_test.cpp
+++ b/unittests/support/support_test.cpp
@@ -4,6 +4,7 @@
 #include "peridotwheel/support/libevent_loop.h"
 #include "peridotwheel/support/log.h"
 #include "peridotwheel/support/manual_loop.h"
+#include "peridotwheel/support/uri_text.h"
 
 #include <gtest/gtest.h>
 #include <thread>
@@ -49,6 +50,14 @@
     EXPECT_FALSE(t);
 }
 
+TEST(uriText, percentEncodesAllButUnreservedBytes)
+{
+    EXPECT_EQ(percentEncoded("aZ09-._~"), "aZ09-._~");
+    EXPECT_EQ(percentEncoded("a&b+c#d%e f/?="), "a%26b%2Bc%23d%25e%20f%2F%3F%3D");
+    EXPECT_EQ(percentEncoded(std::string("\0\r\n\xff", 4)), "%00%0D%0A%FF");
+    EXPECT_EQ(percentEncoded(""), "");
+}
+
 TEST(hash, rendezvousMovesOnlyKeysOfTheNodeThatLeft)
 {
     const std::string nodes[] = {"a", "b", "c", "d"};
