--- a/unittests/http/message_parser_test.cpp
+++ b/unittests/http/message_parser_test.cpp
@@ -27,6 +27,15 @@
     return parser.takeRequest();
 }
 
+/// Returns the parser's state after \p text and an orderly close by the server.
+parse_state replyState(const std::string &text)
+{
+    message_parser parser(message_parser::role::Reply);
+    parser.feed(text.data(), text.size());
+    parser.feedEnd();
+    return parser.state();
+}
+
 const std::string head = "POST /p/?q=1 HTTP/1.1\r\nHost: a\r\n";
 
 } // namespace
@@ -129,6 +138,20 @@
     EXPECT_EQ(parser.state(), parse_state::Complete);
 }
 
+// A status below 100 was taken for that of an interim reply: the exchange went on to wait for a
+// reply that did not come.
+TEST(message_parser, refusesAStatusBelowOneHundred)
+{
+    for (const char *status : {"000", "000 OK", "0 OK", "2 OK", "20 OK", "099 OK"}) {
+        const std::string rest = std::string(status) + "\r\nContent-Length: 4\r\n\r\nbody";
+        EXPECT_EQ(replyState("HTTP/1.1 " + rest), parse_state::Malformed) << status;
+    }
+    for (const char *status : {"100", "200", "200 OK", "503 ", "599 Other", "999 Other"}) {
+        const std::string rest = std::string(status) + "\r\nContent-Length: 0\r\n\r\n";
+        EXPECT_EQ(replyState("HTTP/1.1 " + rest), parse_state::Complete) << status;
+    }
+}
+
 // A server that stopped in the middle of a reply's head must not yield a complete, empty reply.
 TEST(message_parser, refusesAReplyThatEndsAnywhereBeforeItsEnd)
 {
--- a/unittests/http/stream_test.cpp
+++ b/unittests/http/stream_test.cpp
@@ -413,6 +413,18 @@
     EXPECT_EQ(outcome->failure, transport_failure::MayHaveRun);
 }
 
+// After a status of 000 the exchange waited for another reply until its deadline, and could take
+// bytes that followed for the answer.
+TEST_F(client_connection_test, failsAtOnceOnAStatusThatIsNone)
+{
+    send();
+    runFor(milliseconds(20));
+    answer("HTTP/1.1 000 \r\nId: mine\r\nContent-Length: 2\r\n\r\nno" + replyText("mine"));
+    ASSERT_TRUE(outcome);
+    EXPECT_EQ(outcome->failure, transport_failure::MayHaveRun);
+    EXPECT_FALSE(connection->open());
+}
+
 // Guards against taking a reply without a length for complete when a reset has truncated it.
 TEST_F(client_connection_test, reportsAResetReplyWithoutLengthAsMaybeRun)
 {
