Check the line ends and the status line of messages

What callers saw: an answer of a server in trouble whose head had an invalid line reached them as a success. A line that started with a blank became part of the value before it: a seal became "server-9-dc2.3 Note: 1", and a length or an encoding that followed a blank was overlooked, so that the body ran to the end of the connection with its chunk lengths in it. A carriage return before a name ended the head, and the rest of the line became the start of the body. The same held for requests, where it would hide one request within another.

Cause: http_parser as Debian packages it is not built in its strict mode. It joins lines that start with a blank, and skips the byte after the carriage return that ends a head, a status line or the length of a chunk, and the two bytes after a chunk, without looking at them. It also accepts statuses of four digits and any version. Blanks and control bytes inside of names were refused before, and bytes that no name has.

Change: `line_checker` checks the bytes outside of the body as they are parsed: a carriage return only before a line feed, no bare line feed after a start line that ended with both, no line that starts with a blank, a line end after each chunk, and a status line with version 1.x and three digits. It holds for replies and requests alike. A reply that breaks these rules ends its exchange like any other bytes that are no reply.

--- a/lib/http/message_parser.cpp
+++ b/lib/http/message_parser.cpp
@@ -1,5 +1,7 @@
 #include "peridotwheel/http/message_parser.h"
 
+#include "line_checker.h"
+
 #include <algorithm>
 #include <http_parser.h>
 #include <strings.h>
@@ -19,17 +21,23 @@
 {
     explicit impl(http_parser_type t)
         : type(t)
+        , lines(t == HTTP_REQUEST ? line_checker::start_line::Request
+                                  : line_checker::start_line::Status)
     {
         begin();
     }
 
     void begin();
+    bool checkLinesUpTo(const char *end);
     bool addHeaderBytes(std::size_t size);
     void appendBody(const char *at, std::size_t size);
     int onHeadersComplete();
 
     http_parser parser{};
     http_parser_type type;
+    line_checker lines;
+    /// Start of the bytes in the data being parsed that are neither checked nor of the body.
+    const char *unchecked = nullptr;
     message_limits limits;
     parse_state state = parse_state::Empty;
     bool noBody = false;
@@ -72,6 +80,7 @@
 {
     http_parser_init(&parser, type);
     parser.data = this;
+    lines.reset();
     state = parse_state::Empty;
     lastWasValue = true;
     headersDone = false;
@@ -83,6 +92,13 @@
     body = std::string();
 }
 
+bool message_parser::impl::checkLinesUpTo(const char *end)
+{
+    const std::string_view bytes(unchecked, static_cast<std::size_t>(end - unchecked));
+    unchecked = end;
+    return lines.check(bytes);
+}
+
 void message_parser::impl::appendBody(const char *at, std::size_t size)
 {
     // Memory for a length that was only announced is not taken before the bytes arrive.
@@ -190,6 +206,10 @@
     static int onBody(http_parser *p, const char *at, size_t size)
     {
         impl &s = self(p);
+        if (!s.checkLinesUpTo(at))
+            return -1;
+        s.lines.skipBody();
+        s.unchecked = at + size;
         if (s.body.size() + size > s.limits.maxBodyBytes) {
             s.state = message_parser::parse_state::BodyTooLarge;
             return -1;
@@ -250,7 +270,14 @@
     impl &s = *m_impl;
     if (size == 0 || (s.state != parse_state::Empty && s.state != parse_state::Incomplete))
         return 0;
+    s.unchecked = data;
     const std::size_t used = http_parser_execute(&s.parser, &settings, data, size);
+    const bool isParsed =
+            s.state == parse_state::Complete || HTTP_PARSER_ERRNO(&s.parser) == HPE_OK;
+    if (isParsed && !s.checkLinesUpTo(data + used)) {
+        s.state = parse_state::Malformed;
+        return used;
+    }
     if (s.state == parse_state::Complete) {
         http_parser_pause(&s.parser, 0);
         // Protocol upgrades are not supported, and the bytes after such a request may not be HTTP.
--- a/unittests/http/message_parser_test.cpp
+++ b/unittests/http/message_parser_test.cpp
@@ -152,6 +152,99 @@
     }
 }
 
+/// Sets of header lines that are no valid head. Each begins after a valid line.
+std::vector<std::string> invalidHeaderLines()
+{
+    return {
+            // Blanks in a name, or before it, where they would continue the line before.
+            "Content Length: 4",
+            "Content-Length : 4",
+            "Content-Length\t: 4",
+            " Content-Length: 4",
+            "\tContent-Length: 4",
+            " Transfer-Encoding: chunked",
+            " folded",
+            // Control bytes and bytes that are no ASCII.
+            "\rName: 1",
+            "\r",
+            "Na\rme: 1",
+            "Name\r: 1",
+            "\nName: 1",
+            std::string("Na\0me: 1", 8),
+            "\x01Name: 1",
+            "Na\x0bme: 1",
+            "Name\x1f: 1",
+            "Na\x7fme: 1",
+            "Na\x80me: 1",
+            // Characters that no name has, no name, and no colon.
+            "Na(me: 1",
+            "Na\"me: 1",
+            "Na@me: 1",
+            ": 1",
+            "Name",
+            // Values that would end the line elsewhere for another reader.
+            "Name: 1\r2",
+            std::string("Name: 1\0002", 9),
+    };
+}
+
+// A line that starts with a blank was appended to the value of the line before, which hid the
+// length or the encoding of the body. A carriage return before a name ended the head, and the rest
+// of the line became the start of the body. Both replies passed as complete.
+TEST(message_parser, refusesRepliesWithInvalidHeaderLines)
+{
+    for (const std::string &line : invalidHeaderLines()) {
+        for (const char *length : {"", "Content-Length: 4\r\n"}) {
+            const std::string text =
+                    std::string("HTTP/1.1 200 OK\r\nSeal: s\r\n") + length + line + "\r\n\r\nbody";
+            EXPECT_EQ(replyState(text), parse_state::Malformed) << text;
+            // The end of a line may be the end of a piece.
+            message_parser parser(message_parser::role::Reply);
+            for (const char c : text)
+                parser.feed(&c, 1);
+            EXPECT_EQ(parser.state(), parse_state::Malformed) << text;
+        }
+    }
+}
+
+TEST(message_parser, refusesRequestsWithInvalidHeaderLines)
+{
+    for (const std::string &line : invalidHeaderLines()) {
+        const std::string text = head + line + "\r\nContent-Length: 4\r\n\r\nbody";
+        EXPECT_EQ(stateAfter(text), parse_state::Malformed) << text;
+    }
+}
+
+TEST(message_parser, refusesInvalidStatusLines)
+{
+    for (const char *line : {"HTTP/1.1 0200 OK", "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK",
+                             "HTTP/2.0 200 OK", "HTTP/9.9 200 OK", "HTTP/1.1 200\rOK",
+                             "HTTP/1.1 200 O\rK", " HTTP/1.1 200 OK", "HTTP/1.1 200OK"}) {
+        const std::string text = std::string(line) + "\r\nContent-Length: 4\r\n\r\nbody";
+        EXPECT_EQ(replyState(text), parse_state::Malformed) << text;
+    }
+    for (const char *line : {"HTTP/1.1 200", "HTTP/1.0 200 OK", "\r\nHTTP/1.1 200 OK"}) {
+        const std::string text = std::string(line) + "\r\nContent-Length: 4\r\n\r\nbody";
+        EXPECT_EQ(replyState(text), parse_state::Complete) << text;
+    }
+    // A sender may end all lines without carriage returns.
+    EXPECT_EQ(replyState("HTTP/1.1 200 OK\nContent-Length: 4\n\nbody"), parse_state::Complete);
+}
+
+// The two bytes after a chunk were skipped whatever they were, and so was the byte after the
+// carriage return of a chunk's length.
+TEST(message_parser, refusesChunksWithoutTheirLineEnds)
+{
+    const std::string start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string whole = "4\r\nbody\r\n2;x=y\r\n\r\n\r\n0\r\n\r\n";
+    EXPECT_EQ(replyState(start + whole), parse_state::Complete);
+    for (const char *chunks :
+         {"4\rXbody\r\n0\r\n\r\n", "4\r\nbodyXY0\r\n\r\n", "4\r\nbody\rX0\r\n\r\n",
+          "4\r\nbody\n\n0\r\n\r\n", "4\r\nbody\r\n0\rX\r\n", "4\r\nbody\r\n0\r\n\rX"}) {
+        EXPECT_EQ(replyState(start + chunks), parse_state::Malformed) << chunks;
+    }
+}
+
 // A server that stopped in the middle of a reply's head must not yield a complete, empty reply.
 TEST(message_parser, refusesAReplyThatEndsAnywhereBeforeItsEnd)
 {
