Discard the trailers of messages

What callers saw: lines that a server sent after a chunked body stood among the headers of its answer, also with a blank in a name. A seal or the statement that a request did not run counted although the head did not have it.

Cause: http_parser reports trailers by the same callbacks as headers, and the parser appended them to the headers; names were checked at the end of the head.

Change: each name is checked when its value begins, in the head and after the body, and trailers are discarded at the end of the message.

Evidence: message_parser.discardsTrailers found both trailers among the headers and two lines with a blank in the name accepted before, and passes now.

--- a/lib/http/message_parser.cpp
+++ b/lib/http/message_parser.cpp
@@ -44,6 +44,8 @@
     bool lastWasValue = true;
     bool headersDone = false;
     bool keepAlive = true;
+    /// Number of headers in the head.
+    std::size_t headerCount = 0;
     std::size_t headerBytes = 0;
     /// Length that the headers state; 0 if none.
     std::size_t expectedBodyBytes = 0;
@@ -84,6 +86,7 @@
     state = parse_state::Empty;
     lastWasValue = true;
     headersDone = false;
+    headerCount = 0;
     headerBytes = 0;
     expectedBodyBytes = 0;
     target.clear();
@@ -123,6 +126,7 @@
 int message_parser::impl::onHeadersComplete()
 {
     headersDone = true;
+    headerCount = headers.size();
     if (type == HTTP_RESPONSE && parser.status_code < lowestStatus)
         return -1;
     constexpr std::uint64_t unknownLength = ~std::uint64_t{0};
@@ -138,8 +142,6 @@
     // two implementations may disagree on where it ends.
     int encodings = 0;
     for (const auto &[name, value] : headers) {
-        if (!isUnambiguousName(name))
-            return -1;
         if (!equalsIgnoringCase(name, "Transfer-Encoding"))
             continue;
         ++encodings;
@@ -196,6 +198,8 @@
         impl &s = self(p);
         if (!s.addHeaderBytes(size) || s.headers.empty())
             return -1;
+        if (!s.lastWasValue && !isUnambiguousName(s.headers.back().first))
+            return -1;
         s.lastWasValue = true;
         s.headers.back().second.append(at, size);
         return 0;
@@ -222,6 +226,8 @@
     {
         impl &s = self(p);
         s.state = message_parser::parse_state::Complete;
+        // Trailers must not be merged into the head.
+        s.headers.resize(s.headerCount);
         s.keepAlive = http_should_keep_alive(p) != 0;
         // Stops at the end of the message; the bytes that follow belong to the next message.
         http_parser_pause(p, 1);
--- a/unittests/http/message_parser_test.cpp
+++ b/unittests/http/message_parser_test.cpp
@@ -1,5 +1,6 @@
 #include "peridotwheel/http/message_parser.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 
 using namespace peridotwheel;
@@ -245,6 +246,26 @@
     }
 }
 
+// Trailers were taken for headers without a check of their names, so that a caller got lines that
+// stood after the body, and a server could state twice what it had stated in the head.
+TEST(message_parser, discardsTrailers)
+{
+    const std::string start =
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n";
+    for (const std::size_t pieceSize : {std::size_t{1}, std::size_t{1000}}) {
+        message_parser parser(message_parser::role::Reply);
+        const std::string text = start + "Seal: s\r\nNot-Run: 1\r\n\r\n";
+        for (std::size_t at = 0; at < text.size(); at += pieceSize)
+            parser.feed(text.data() + at, std::min(pieceSize, text.size() - at));
+        ASSERT_EQ(parser.state(), parse_state::Complete);
+        const http_reply reply = parser.takeReply();
+        EXPECT_EQ(reply.headers, (http_headers{{"Transfer-Encoding", "chunked"}}));
+        EXPECT_EQ(reply.body, "body");
+    }
+    for (const std::string &line : invalidHeaderLines())
+        EXPECT_EQ(replyState(start + line + "\r\n\r\n"), parse_state::Malformed) << line;
+}
+
 // A server that stopped in the middle of a reply's head must not yield a complete, empty reply.
 TEST(message_parser, refusesAReplyThatEndsAnywhereBeforeItsEnd)
 {
