Leave malformed entries out of the platform's lists

What callers would see: on the product's own platform interface, one entry that cannot be read, such as a value nested too deeply or a server with a missing field, made the whole list or watch fail. A restarted instance then knew no instance and no server. Found while looking for other places that read entries; the adapter in platform/ reads entries one by one already.

Cause: the readers parsed a reply as a whole and gave up at the first error.

Change: lists are split with `jsonMembers` and `jsonElements`, as in the adapter, and each entry is read by itself. What is left out is reported once for each reply, with its number and the first reason: in the log of an instance, on standard error of the command line.

--- a/include/peridotwheel/platform/http_platform_client.h
+++ b/include/peridotwheel/platform/http_platform_client.h
@@ -15,10 +15,13 @@
     duration timeout = seconds(2);
     /// How much longer than the requested wait a watch may take before it times out.
     duration watchMargin = seconds(2);
+    /// Called once for each list of which malformed entries were left out, with their number and
+    /// the reason of the first one.
+    std::function<void(std::size_t count, const std::string &reason)> onEntriesSkipped;
 };
 
 /// Calls the platform's object API over HTTP. Replies are untrusted: a reply that does not parse is
-/// an error.
+/// an error, and malformed entries of a list are left out.
 class http_platform_client : public platform_client
 {
 public:
--- a/lib/ctl/fleet_client.cpp
+++ b/lib/ctl/fleet_client.cpp
@@ -1,5 +1,6 @@
 #include "peridotwheel/ctl/fleet_client.h"
 
+#include <iostream>
 #include <nlohmann/json.hpp>
 
 namespace peridotwheel {
@@ -11,6 +12,10 @@
     http_platform_options options;
     options.platform = platform;
     options.timeout = timeout;
+    options.onEntriesSkipped = [](std::size_t count, const std::string &reason) {
+        std::cerr << "warning: " << count << " malformed entries of the platform's list are left "
+                  << "out, the first because of " << reason << "\n";
+    };
     return options;
 }
 
--- a/lib/entry/entry_instance.cpp
+++ b/lib/entry/entry_instance.cpp
@@ -40,6 +40,10 @@
     http_platform_options options;
     options.platform = s.platform;
     options.dataCentre = s.dataCentre;
+    options.onEntriesSkipped = [](std::size_t count, const std::string &reason) {
+        LOG(WARNING) << "event=platform-entries-skipped count=" << count
+                     << " reason=" << logValue(reason);
+    };
     return options;
 }
 
--- a/lib/platform/http_platform_client.cpp
+++ b/lib/platform/http_platform_client.cpp
@@ -41,6 +41,17 @@
     return writeError(outcome, describe(key), refusalOf(outcome.reply.status));
 }
 
+/// Reads a list by \p read and reports the entries that were left out.
+template <class Read>
+auto readList(const http_platform_options &options, Read read)
+{
+    skipped_entries skipped;
+    auto list = read(skipped);
+    if (skipped.count > 0 && options.onEntriesSkipped)
+        options.onEntriesSkipped(skipped.count, skipped.first);
+    return list;
+}
+
 } // namespace
 
 http_platform_client::http_platform_client(http_client &http, http_platform_options options,
@@ -123,10 +134,12 @@
 void http_platform_client::list(const std::string &kind, hook<watch_result> done)
 {
     send(http_method::Get, "/objects/" + percentEncoded(kind), {}, {}, m_options.timeout,
-         [kind, done = std::move(done)](const http_outcome &outcome) {
+         [this, kind, done = std::move(done)](const http_outcome &outcome) {
              if (!isSuccess(outcome))
                  return done(readError(outcome, "objects of kind " + kind));
-             done(listFromJson(kind, outcome.reply.body));
+             done(readList(m_options, [&](skipped_entries &skipped) {
+                 return listFromJson(kind, outcome.reply.body, skipped);
+             }));
          });
 }
 
@@ -138,7 +151,7 @@
          "/watch/" + percentEncoded(kind) + "?since=" + std::to_string(since.value()) +
                  "&timeoutMs=" + std::to_string(waitMs),
          {}, {}, wait + m_options.watchMargin,
-         [kind, done = std::move(done)](const http_outcome &outcome) {
+         [this, kind, done = std::move(done)](const http_outcome &outcome) {
              if (outcome.ok() && outcome.reply.status == 410) {
                  watch_result compacted;
                  compacted.compacted = true;
@@ -146,17 +159,21 @@
              }
              if (!isSuccess(outcome))
                  return done(readError(outcome, "changes of kind " + kind));
-             done(watchFromJson(kind, outcome.reply.body));
+             done(readList(m_options, [&](skipped_entries &skipped) {
+                 return watchFromJson(kind, outcome.reply.body, skipped);
+             }));
          });
 }
 
 void http_platform_client::instances(hook<instance_list> done)
 {
     send(http_method::Get, "/instances", {}, {}, m_options.timeout,
-         [done = std::move(done)](const http_outcome &outcome) {
+         [this, done = std::move(done)](const http_outcome &outcome) {
              if (!isSuccess(outcome))
                  return done(readError(outcome, "instance list"));
-             done(instancesFromJson(outcome.reply.body));
+             done(readList(m_options, [&](skipped_entries &skipped) {
+                 return instancesFromJson(outcome.reply.body, skipped);
+             }));
          });
 }
 
--- a/lib/platform/platform_json.cpp
+++ b/lib/platform/platform_json.cpp
@@ -2,8 +2,10 @@
 
 #include "peridotwheel/support/bounded_json.h"
 #include "peridotwheel/support/endpoint_text.h"
+#include "peridotwheel/support/json_text.h"
 
 #include <stdexcept>
+#include <utility>
 
 namespace peridotwheel {
 
@@ -43,14 +45,6 @@
     return value.get<std::string>();
 }
 
-const json &requiredArray(const json &in, const char *name)
-{
-    const json &value = requiredField(in, name);
-    if (!value.is_array())
-        throw malformed_reply(std::string("field '") + name + "' must be an array");
-    return value;
-}
-
 endpoint requiredEndpoint(const json &in, const char *name)
 {
     auto parsed = endpointFromText(requiredText(in, name));
@@ -106,16 +100,71 @@
     return s;
 }
 
-/// Parses the JSON \p body, runs \p parse on it, and converts every exception into an error.
-template <class T, class Parse>
-result<T> parseReply(const std::string &body, Parse parse)
+json parsed(std::string_view text)
+{
+    auto value = parseBoundedJson(std::string(text));
+    if (!value)
+        throw malformed_reply(value.error().message);
+    return std::move(value).value();
+}
+
+/// Reads the arrays of a reply entry by entry, since one entry that cannot be read must not make
+/// the others unreadable.
+class list_reader
+{
+public:
+    list_reader(std::string_view body, skipped_entries &skipped)
+        : m_skipped(skipped)
+    {
+        auto members = jsonMembers(body);
+        if (!members)
+            throw malformed_reply("expected a JSON object");
+        m_members = std::move(*members);
+    }
+
+    std::uint64_t number(const char *field) const
+    {
+        return requiredNumber({{field, parsed(text(field))}}, field);
+    }
+
+    /// Returns the results of \p read for the entries of \p field for which it does not throw.
+    template <class Read>
+    auto entries(const char *field, Read read)
+    {
+        const auto texts = jsonElements(text(field));
+        if (!texts)
+            throw malformed_reply(std::string("field '") + field + "' must be an array");
+        std::vector<decltype(read(json()))> out;
+        out.reserve(texts->size());
+        for (const std::string_view entry : *texts) {
+            try {
+                out.push_back(read(parsed(entry)));
+            } catch (const std::exception &e) {
+                m_skipped.add(field, e.what());
+            }
+        }
+        return out;
+    }
+
+private:
+    std::string_view text(const char *field) const
+    {
+        const auto it = m_members.find(field);
+        if (it == m_members.end())
+            throw malformed_reply(std::string("field '") + field + "' is missing");
+        return it->second;
+    }
+
+    std::map<std::string, std::string_view> m_members;
+    skipped_entries &m_skipped;
+};
+
+/// Runs \p read and converts every exception into an error.
+template <class T, class Read>
+result<T> readReply(Read read)
 {
-    const auto document = parseBoundedJson(body);
-    if (!document)
-        return failure(error_kind::InvalidArgument,
-                       "the platform's reply is malformed: " + document.error().message);
     try {
-        return parse(document.value());
+        return read();
     } catch (const std::exception &e) {
         return failure(error_kind::InvalidArgument,
                        std::string("the platform's reply is malformed: ") + e.what());
@@ -134,7 +183,8 @@
 
 result<platform_object> objectFromJson(const object_key &key, const std::string &body)
 {
-    return parseReply<platform_object>(body, [&](const json &in) {
+    return readReply<platform_object>([&] {
+        const json in = parsed(body);
         return platform_object{
                 key, object_version(requiredNumber(in, "version")),
                 requiredField(in, "value").dump(-1, ' ', false, json::error_handler_t::replace)};
@@ -143,45 +193,52 @@
 
 result<object_version> versionFromJson(const std::string &body)
 {
-    return parseReply<object_version>(
-            body, [](const json &in) { return object_version(requiredNumber(in, "version")); });
+    return readReply<object_version>(
+            [&] { return object_version(requiredNumber(parsed(body), "version")); });
+}
+
+void skipped_entries::add(const char *field, const char *reason)
+{
+    if (count++ == 0)
+        first = std::string(field) + ": " + reason;
 }
 
-result<watch_result> listFromJson(const std::string &kind, const std::string &body)
+result<watch_result> listFromJson(const std::string &kind, const std::string &body,
+                                  skipped_entries &skipped)
 {
-    return parseReply<watch_result>(body, [&](const json &in) {
+    return readReply<watch_result>([&] {
+        list_reader reply(body, skipped);
         watch_result out;
-        out.next = object_version(requiredNumber(in, "revision"));
-        for (const json &i : requiredArray(in, "items"))
-            out.changed.push_back(objectFromItem(kind, i));
+        out.next = object_version(reply.number("revision"));
+        out.changed =
+                reply.entries("items", [&](const json &in) { return objectFromItem(kind, in); });
         return out;
     });
 }
 
-result<watch_result> watchFromJson(const std::string &kind, const std::string &body)
+result<watch_result> watchFromJson(const std::string &kind, const std::string &body,
+                                   skipped_entries &skipped)
 {
-    return parseReply<watch_result>(body, [&](const json &in) {
+    return readReply<watch_result>([&] {
+        list_reader reply(body, skipped);
         watch_result out;
-        out.next = object_version(requiredNumber(in, "next"));
-        for (const json &i : requiredArray(in, "changed"))
-            out.changed.push_back(objectFromItem(kind, i));
-        for (const json &name : requiredArray(in, "removed")) {
-            if (!name.is_string())
-                throw malformed_reply("field 'removed' must be an array of strings");
-            out.removed.push_back({kind, name.get<std::string>()});
-        }
+        out.next = object_version(reply.number("next"));
+        out.changed =
+                reply.entries("changed", [&](const json &in) { return objectFromItem(kind, in); });
+        out.removed = reply.entries("removed", [&](const json &in) {
+            return object_key{kind, in.get<std::string>()};
+        });
         return out;
     });
 }
 
-result<instance_list> instancesFromJson(const std::string &body)
+result<instance_list> instancesFromJson(const std::string &body, skipped_entries &skipped)
 {
-    return parseReply<instance_list>(body, [](const json &in) {
+    return readReply<instance_list>([&] {
+        list_reader reply(body, skipped);
         instance_list out;
-        for (const json &i : requiredArray(in, "instances"))
-            out.instances.push_back(instanceFromItem(i));
-        for (const json &s : requiredArray(in, "servers"))
-            out.servers.push_back(serverFromItem(s));
+        out.instances = reply.entries("instances", &instanceFromItem);
+        out.servers = reply.entries("servers", &serverFromItem);
         return out;
     });
 }
--- a/unittests/platform/http_platform_client_test.cpp
+++ b/unittests/platform/http_platform_client_test.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <utility>
 
 using namespace peridotwheel;
 
@@ -28,8 +29,18 @@
 
 struct platform_client_fixture : testing::Test
 {
+    static http_platform_options options(std::size_t &skippedEntries)
+    {
+        http_platform_options o{{"127.0.1.9", 80}, data_centre_id("dc1")};
+        o.onEntriesSkipped = [&skippedEntries](std::size_t count, const std::string &) {
+            skippedEntries += count;
+        };
+        return o;
+    }
+
     scripted_http http;
-    http_platform_client client{http, {{"127.0.1.9", 80}, data_centre_id("dc1")}};
+    std::size_t skippedEntries = 0;
+    http_platform_client client{http, options(skippedEntries)};
 
     error_kind putError()
     {
@@ -126,6 +137,61 @@
     client.get({"claims", "a"}, [](const auto &r) { EXPECT_FALSE(r.has_value()); });
 }
 
+namespace {
+
+/// Entries that name no object, instance or server.
+std::vector<std::string> oddEntries()
+{
+    const std::string deep(1000, '[');
+    return {"7",
+            "null",
+            "{}",
+            R"({"name":"","version":1,"value":1,"id":""})",
+            R"({"name":7,"version":1,"value":1,"id":7})",
+            R"({"name":"odd","id":"odd","start":1,"state":"resting"})",
+            R"({"name":"odd","version":-1,"value":1})",
+            R"({"name":"odd","version":1,"value":1e999})",
+            R"({"name":"odd","version":1,"value":)" + deep + std::string(1000, ']') + "}",
+            "{\"name\":\"\xff\",\"version\":1,\"value\":1}"};
+}
+
+} // namespace
+
+// One entry that could not be read made the whole list fail, so that a restarted process knew no
+// instance and no server.
+TEST_F(platform_client_fixture, leavesOutOddEntriesAndKeepsTheOthers)
+{
+    const std::string good = R"({"name":"n","version":8,"value":{"a":[1]}})";
+    const std::string instance =
+            R"({"id":"entry-1","start":1,"dataCentre":"dc1","peers":"127.0.1.1:70",)"
+            R"("operators":"127.0.1.1:71","state":"live"})";
+    const std::string server =
+            R"({"id":"cards-1","start":7,"service":"cards","sharded":false,"dataCentre":"dc2",)"
+            R"("address":"127.0.2.1:90","connectionLimit":25,"state":"live"})";
+    for (const std::string &odd : oddEntries()) {
+        http.answer(200, R"({"revision":9,"items":[)" + odd + "," + good + "]}");
+        client.list("snapshots", [&](const auto &r) {
+            ASSERT_TRUE(r) << r.error().message;
+            ASSERT_EQ(r.value().changed.size(), 1U) << odd;
+            EXPECT_EQ(r.value().changed[0].key.name, "n");
+        });
+        http.answer(200, R"({"next":9,"changed":[)" + good + "," + odd + R"(],"removed":[7,"x"]})");
+        client.watch("snapshots", object_version(5), seconds(3), [&](const auto &r) {
+            ASSERT_TRUE(r) << r.error().message;
+            EXPECT_EQ(r.value().changed.size(), 1U) << odd;
+            EXPECT_EQ(r.value().removed.size(), 1U);
+        });
+        http.answer(200, R"({"instances":[)" + odd + "," + instance + R"(],"servers":[)" + server +
+                                 "," + odd + "]}");
+        client.instances([&](const auto &r) {
+            ASSERT_TRUE(r) << r.error().message;
+            EXPECT_EQ(r.value().instances.size(), 1U) << odd;
+            EXPECT_EQ(r.value().servers.size(), 1U) << odd;
+        });
+        EXPECT_EQ(std::exchange(skippedEntries, 0), 5U) << odd;
+    }
+}
+
 // Guards against crashes on malformed replies: each call must end with an error or a value.
 RC_GTEST_FIXTURE_PROP(platform_client_fixture, survivesDamagedReplies,
                       (std::size_t at, char replacement))
