Check the status of a reply in one place

The parser refused a status below 100, and `line_checker` one that has not three digits. The status line is now checked in `line_checker` alone.

--- a/lib/http/line_checker.cpp
+++ b/lib/http/line_checker.cpp
@@ -17,11 +17,13 @@
     return std::isdigit(static_cast<unsigned char>(c)) != 0;
 }
 
-/// \p line ends at most one character after the status.
+/// Whether \p line starts with version 1.x and a status of 100 to 999; of the rest, \p line holds
+/// at most one character.
 bool isStatusLine(std::string_view line)
 {
     return line.size() >= statusEnd && line.substr(0, versionPrefix.size()) == versionPrefix &&
            isDigit(line[versionPrefix.size()]) && line[statusAt - 1] == ' ' &&
+           line[statusAt] != '0' &&
            std::all_of(line.begin() + statusAt, line.begin() + statusEnd, &isDigit) &&
            (line.size() == statusEnd || line[statusEnd] == ' ');
 }
--- a/lib/http/message_parser.cpp
+++ b/lib/http/message_parser.cpp
@@ -12,8 +12,6 @@
 namespace {
 
 constexpr std::size_t minBodyCapacity = 256;
-/// http_parser reads any number up to 999 as a status, also one of fewer than three digits.
-constexpr unsigned lowestStatus = 100;
 
 } // namespace
 
@@ -127,8 +125,6 @@
 {
     headersDone = true;
     headerCount = headers.size();
-    if (type == HTTP_RESPONSE && parser.status_code < lowestStatus)
-        return -1;
     constexpr std::uint64_t unknownLength = ~std::uint64_t{0};
     const bool hasLength = (parser.flags & F_CONTENTLENGTH) != 0;
     const std::uint64_t length = parser.content_length;
--- a/lib/platform/platform_json.cpp
+++ b/lib/platform/platform_json.cpp
@@ -124,7 +124,7 @@
 
     std::uint64_t number(const char *field) const
     {
-        return requiredNumber({{field, parsed(text(field))}}, field);
+        return requiredNumber(json{{field, parsed(text(field))}}, field);
     }
 
     /// Returns the results of \p read for the entries of \p field for which it does not throw.
