Decode names in one place

Both stand-ins of a store decoded names by themselves, one with code of its own that took any two bytes after a '%' for a number. `percentDecoded` stands beside `percentEncoded` now, on the same library. uriText.decodesWhatItEncodes covers all bytes; the tests of support, adapter, standin, platform and claims pass.

--- a/lib/standin/platform_path.cpp
+++ b/lib/standin/platform_path.cpp
@@ -1,29 +1,12 @@
 #include "platform_path.h"
 
+#include "peridotwheel/support/uri_text.h"
+
 #include <cstdlib>
 #include <string_view>
 
 namespace peridotwheel {
 
-namespace {
-
-std::string percentDecoded(std::string_view text)
-{
-    std::string out;
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        if (text[i] != '%' || i + 2 >= text.size()) {
-            out += text[i];
-            continue;
-        }
-        const std::string digits(text.substr(i + 1, 2));
-        out += static_cast<char>(std::strtoul(digits.c_str(), nullptr, 16));
-        i += 2;
-    }
-    return out;
-}
-
-} // namespace
-
 std::uint64_t queryNumber(const std::string &path, const std::string &name, std::uint64_t fallback)
 {
     const auto start = path.find('?');
@@ -44,7 +27,7 @@
     while (!rest.empty()) {
         rest.remove_prefix(1);
         const auto slash = parts.size() < 2 ? rest.find('/') : std::string_view::npos;
-        parts.push_back(percentDecoded(rest.substr(0, slash)));
+        parts.push_back(percentDecoded(rest.substr(0, slash), uri_part::Path));
         rest = slash == std::string_view::npos ? std::string_view() : rest.substr(slash);
     }
     return parts;
--- a/unittests/support/support_test.cpp
+++ b/unittests/support/support_test.cpp
@@ -58,6 +58,17 @@
     EXPECT_EQ(percentEncoded(""), "");
 }
 
+TEST(uriText, decodesWhatItEncodes)
+{
+    std::string all;
+    for (int c = 0; c < 256; ++c)
+        all += static_cast<char>(c);
+    EXPECT_EQ(percentDecoded(percentEncoded(all), uri_part::Path), all);
+    EXPECT_EQ(percentDecoded(percentEncoded(all), uri_part::Query), all);
+    EXPECT_EQ(percentDecoded("a+b%2b%", uri_part::Path), "a+b+%");
+    EXPECT_EQ(percentDecoded("a+b%2b%", uri_part::Query), "a b+%");
+}
+
 TEST(hash, rendezvousMovesOnlyKeysOfTheNodeThatLeft)
 {
     const std::string nodes[] = {"a", "b", "c", "d"};
