Join test entries without temporary strings

The linter failed the check on the new test of the platform's lists (performance-inefficient-string-concatenation); nothing else in that run failed. The test is the same otherwise and passes, with the linter.

--- a/unittests/platform/http_platform_client_test.cpp
+++ b/unittests/platform/http_platform_client_test.cpp
@@ -155,6 +155,11 @@
             "{\"name\":\"\xff\",\"version\":1,\"value\":1}"};
 }
 
+std::string joined(std::string first, const std::string &second)
+{
+    return first.append(",").append(second);
+}
+
 } // namespace
 
 // One entry that could not be read made the whole list fail, so that a restarted process knew no
@@ -169,20 +174,21 @@
             R"({"id":"cards-1","start":7,"service":"cards","sharded":false,"dataCentre":"dc2",)"
             R"("address":"127.0.2.1:90","connectionLimit":25,"state":"live"})";
     for (const std::string &odd : oddEntries()) {
-        http.answer(200, R"({"revision":9,"items":[)" + odd + "," + good + "]}");
+        http.answer(200, R"({"revision":9,"items":[)" + joined(odd, good) + "]}");
         client.list("snapshots", [&](const auto &r) {
             ASSERT_TRUE(r) << r.error().message;
             ASSERT_EQ(r.value().changed.size(), 1U) << odd;
             EXPECT_EQ(r.value().changed[0].key.name, "n");
         });
-        http.answer(200, R"({"next":9,"changed":[)" + good + "," + odd + R"(],"removed":[7,"x"]})");
+        http.answer(200,
+                    R"({"next":9,"changed":[)" + joined(good, odd) + R"(],"removed":[7,"x"]})");
         client.watch("snapshots", object_version(5), seconds(3), [&](const auto &r) {
             ASSERT_TRUE(r) << r.error().message;
             EXPECT_EQ(r.value().changed.size(), 1U) << odd;
             EXPECT_EQ(r.value().removed.size(), 1U);
         });
-        http.answer(200, R"({"instances":[)" + odd + "," + instance + R"(],"servers":[)" + server +
-                                 "," + odd + "]}");
+        http.answer(200, R"({"instances":[)" + joined(odd, instance) + R"(],"servers":[)" +
+                                 joined(server, odd) + "]}");
         client.instances([&](const auto &r) {
             ASSERT_TRUE(r) << r.error().message;
             EXPECT_EQ(r.value().instances.size(), 1U) << odd;
