Read teams, home regions, cold limits and their settings

Cause: the configuration may hold tenants with keys, rank, allotment and home regions, routes may be public or have homes, and services a limit for cold servers. The program ignored all of them, and the settings had no place for evacuations, the tolerance of allotments and the limit on descriptors.

Nothing uses them yet.

--- a/include/peridotwheel/gateway/gateway.h
+++ b/include/peridotwheel/gateway/gateway.h
@@ -20,8 +20,6 @@
 class event_loop;
 struct gateway_state;
 
-using region_id = strong_id<struct region_tag>;
-
 struct gateway_options
 {
     instance_id self;
--- a/include/peridotwheel/gateway/gateway_settings.h
+++ b/include/peridotwheel/gateway/gateway_settings.h
@@ -5,6 +5,7 @@
 #include "peridotwheel/http/http_message.h"
 #include "peridotwheel/support/error.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,6 +13,16 @@
 
 constexpr std::size_t bytesPerMegabyte = 1024 * 1024;
 
+/// How far the requests of a team may exceed its allotment in any window.
+struct allotment_tolerance
+{
+    duration window = seconds(5);
+    /// Share of the allotted requests of the window.
+    double excess = 0;
+    /// Requests in the window.
+    double slack = 0;
+};
+
 /// Settings that one gateway needs before it can reach the store; see docs/settings.md.
 struct gateway_settings
 {
@@ -33,6 +44,11 @@
     extra_attempt_limits extraAttempts;
     /// A change of the configuration or of a server must be applied within this time.
     duration applyWithin = seconds(3);
+    allotment_tolerance allotments;
+    /// Time within which an evacuation of a data centre must be applied; absent if there are none.
+    std::optional<duration> evacuateWithin;
+    /// Descriptors that this process may open.
+    std::size_t maxDescriptors = 0;
     /// Bandwidth of this instance's link.
     byte_rate link = byte_rate::fromMegabits(100);
     /// Memory that this process may use.
--- a/include/peridotwheel/gateway/route.h
+++ b/include/peridotwheel/gateway/route.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,6 +18,7 @@
 namespace peridotwheel {
 
 using route_name = strong_id<struct route_tag>;
+using team_name = strong_id<struct team_tag>;
 /// Version of the operators' configuration. It increases, not necessarily by one.
 using configuration_version = strong_id<struct configuration_version_tag, std::uint64_t>;
 
@@ -43,6 +45,9 @@
     double minCoverage = 1;
 };
 
+/// Regions whose servers may run requests; empty if all of them may.
+using home_regions = std::set<region_id>;
+
 /// Maps requests by host and path prefix to services, with the limits that their callers expect.
 struct route
 {
@@ -60,6 +65,9 @@
     /// One service, or several that share the requests by weight; empty for a gather.
     std::vector<weighted_service> services;
     std::optional<gather_spec> gather;
+    /// Whether requests need no key of a team.
+    bool isPublic = false;
+    home_regions homes;
 };
 
 using route_ptr = std::shared_ptr<const route>;
@@ -67,6 +75,35 @@
 /// Returns the services that requests of a route may reach.
 std::vector<service_name> servicesOf(const route &r);
 
+/// Limit on the requests of a team, over all instances together.
+struct rate_allotment
+{
+    request_rate rate;
+    /// Requests that may come at once after a time without any.
+    double burst = 0;
+
+    friend bool operator==(const rate_allotment &a, const rate_allotment &b)
+    {
+        return a.rate == b.rate && a.burst == b.burst;
+    }
+    friend bool operator!=(const rate_allotment &a, const rate_allotment &b) { return !(a == b); }
+};
+
+/// A group of callers that share keys, a limit and a rank.
+struct team_spec
+{
+    team_name name;
+    /// Keys with which its callers authenticate. They must not appear in logs, metrics or errors.
+    std::vector<std::string> keys;
+    /// Goes before the rank of the route.
+    std::optional<class_rank> rank;
+    /// Absent if the team is not limited.
+    std::optional<rate_allotment> allotment;
+    home_regions homes;
+};
+
+using team_ptr = std::shared_ptr<const team_spec>;
+
 struct service_spec
 {
     /// Path of the health check.
@@ -74,6 +111,8 @@
     /// Maximum number of connections that a server of the service accepts from all instances
     /// together.
     std::uint32_t maxConnections = 1;
+    /// Requests that a cold server accepts from all instances together; absent if not limited.
+    std::optional<request_rate> coldLimit;
 };
 
 /// One version of the operators' configuration.
@@ -83,6 +122,8 @@
     std::vector<route_ptr> routes;
     std::map<service_name, service_spec> services;
     stream_limits limits;
+    /// Present if callers authenticate, which requests on public routes need not do.
+    std::optional<std::vector<team_ptr>> teams;
 };
 
 /// Finds the route of a request by the longest matching prefix among the routes of its host.
@@ -95,6 +136,7 @@
     route_ptr find(std::string_view host, std::string_view target) const;
     configuration_version version() const { return m_configuration.version; }
     const stream_limits &limits() const { return m_configuration.limits; }
+    const std::optional<std::vector<team_ptr>> &teams() const { return m_configuration.teams; }
     const std::vector<route_ptr> &routes() const { return m_configuration.routes; }
     /// Returns null if the service is not configured.
     const service_spec *service(const service_name &name) const;
--- a/include/peridotwheel/support/ids.h
+++ b/include/peridotwheel/support/ids.h
@@ -13,6 +13,7 @@
 using server_id = strong_id<struct server_tag>;
 using service_name = strong_id<struct service_tag>;
 using data_centre_id = strong_id<struct data_centre_tag>;
+using region_id = strong_id<struct region_tag>;
 using class_name = strong_id<struct class_tag>;
 /// A caller's own id of one request; unique per caller and at most `maxRequestIdBytes` long.
 using request_id = strong_id<struct request_tag>;
--- a/lib/gateway/gateway_settings.cpp
+++ b/lib/gateway/gateway_settings.cpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <sstream>
+#include <sys/resource.h>
 #include <unistd.h>
 
 namespace peridotwheel {
@@ -37,6 +38,17 @@
     return static_cast<std::size_t>(pages) * static_cast<std::size_t>(pageBytes);
 }
 constexpr double maxMemoryMegabytes = 1e6;
+constexpr double maxDescriptors = 1e7;
+/// Descriptors that are assumed if the system states no limit.
+constexpr std::size_t defaultDescriptors = 4096;
+
+/// Returns the limit of this process on open descriptors.
+std::size_t processDescriptors()
+{
+    rlimit limit{};
+    const bool isKnown = getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY;
+    return isKnown ? static_cast<std::size_t>(limit.rlim_cur) : defaultDescriptors;
+}
 
 using value_map = std::map<std::string, std::string>;
 
@@ -214,6 +226,18 @@
     };
     s.applyWithin = std::min(millisecondsOf("changes.configuration_within_ms", s.applyWithin),
                              millisecondsOf("changes.drain_within_ms", s.applyWithin));
+    const double evacuateMs =
+            reader.number("changes.evacuation_within_ms", 0, 1000 * maxSeconds, 0);
+    if (evacuateMs > 0)
+        s.evacuateWithin = fromMilliseconds(evacuateMs);
+    s.allotments.window = secondsOf("allotments.window_seconds", s.allotments.window);
+    s.allotments.excess = reader.number("allotments.excess", 0, 1, s.allotments.excess);
+    s.allotments.slack =
+            reader.number("allotments.slack", 0, maxAttemptsConstant, s.allotments.slack);
+    s.maxDescriptors =
+            static_cast<std::size_t>(reader.number("instance.descriptors", 0, maxDescriptors, 0));
+    if (s.maxDescriptors == 0)
+        s.maxDescriptors = processDescriptors();
     s.stopWithin = secondsOf("shutdown.killed_after_seconds", s.stopWithin);
     if (reader.problem())
         return failure(error_kind::InvalidArgument, *reader.problem());
