--- a/include/peridotwheel/gateway/backend_server.h
+++ b/include/peridotwheel/gateway/backend_server.h
@@ -137,13 +137,19 @@
     /// Returns whether a connection is opened for single attempts only.
     bool isConnectedOnDemand() const { return m_isConnectedOnDemand; }
     /// Returns whether this instance may ever connect to the server.
-    bool isWithinReach() const { return m_maxConnections > 0 && !isDraining(); }
+    bool isWithinReach() const { return m_maxConnections > 0 && !isDraining() && !m_isEvacuated; }
     /// Sets the number of standing connections, which are kept open without a request. One of them
     /// is opened in advance; connections beyond this number are closed soon after use.
     void setStanding(std::uint32_t standing) { m_standing = standing; }
     /// Sets whether a standing connection is opened again after it has ended without being used for
     /// a while. If not, it is opened when a request needs it.
     void setOpenedInAdvance(bool opened) { m_isOpenedInAdvance = opened; }
+    /// Sets whether nothing is sent to the server because its data centre is evacuated. Attempts in
+    /// flight continue.
+    void setEvacuated(bool isEvacuated);
+    /// Sets the rate of requests that the server accepts from all instances together while it is
+    /// cold; absent if it is not limited.
+    void setColdLimit(std::optional<request_rate> limit);
     /// Fails the waiting attempts and takes no part in further placement. Attempts in flight
     /// continue.
     void drain();
@@ -218,12 +224,21 @@
     void applyNotice(const http_reply &reply);
     void onLimitChanged();
     void updateLimitShare();
+    void setColdFor(duration left);
+    /// Starts or ends the limit for cold servers.
+    void updateColdLimit();
+    /// Returns the time until the server's limits allow a request that waits behind \p ahead
+    /// others.
+    duration limitDelay(std::size_t ahead) const;
 
     environment m_env;
     backend_record m_record;
     std::string m_healthCheckPath;
     server_health m_health;
     server_limit m_limit;
+    /// In force while the server is cold.
+    server_limit m_coldLimit;
+    std::optional<request_rate> m_namedColdLimit;
     /// Runs while attempts wait for the server's limit.
     timer m_limitTimer;
     std::vector<std::unique_ptr<slot>> m_slots;
@@ -237,6 +252,7 @@
     bool m_isConnectedOnDemand = false;
     bool m_isInBusyPeriod = false;
     bool m_isDraining = false;
+    bool m_isEvacuated = false;
     bool m_isOpenedInAdvance = true;
     /// Whether the last connection ended unused, and no attempt was submitted since.
     bool m_endedUnused = false;
--- a/include/peridotwheel/gateway/cluster_view.h
+++ b/include/peridotwheel/gateway/cluster_view.h
@@ -2,6 +2,7 @@
 #define PERIDOTWHEEL_GATEWAY_CLUSTER_VIEW_H
 
 #include "peridotwheel/gateway/backend_record.h"
+#include "peridotwheel/gateway/evacuation_list.h"
 #include "peridotwheel/gateway/route.h"
 #include "peridotwheel/gateway/server_report.h"
 #include "peridotwheel/platform/object_watcher.h"
@@ -24,6 +25,8 @@
     std::string configurationKind;
     std::string configurationName;
     std::string serverKind;
+    /// Kind of the objects whose names are evacuated data centres.
+    std::string evacuationKind;
     std::function<result<route_configuration>(const platform_object &)> readConfiguration;
     std::function<result<backend_record>(const platform_object &)> readServer;
 };
@@ -63,6 +66,8 @@
     /// Combined server measurements of the instances of the data centre; not part of the
     /// configuration or of the server list.
     server_hints hints;
+    /// Evacuated data centres, if the sender knows them.
+    std::optional<evacuation_list> evacuations;
     /// Address of the instance that sent this view, for the log.
     std::string source;
 };
--- a/include/peridotwheel/gateway/gateway.h
+++ b/include/peridotwheel/gateway/gateway.h
@@ -9,9 +9,11 @@
 #include "peridotwheel/membership/member.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace peridotwheel {
 
@@ -38,6 +40,8 @@
     std::size_t maxConcurrentRequests = 2048;
     /// Attempts still in flight this long after their caller has disconnected are aborted.
     duration abandonedAttemptGrace = milliseconds(250);
+    /// Random number that callers cannot know.
+    std::uint64_t secret = 0;
 };
 
 /// Forwards callers' requests to backend servers by the routes in force.
@@ -56,6 +60,8 @@
     void setServers(const backend_map &servers);
     /// Sets the instances that share the limits of servers and services, this one included.
     void setInstances(const member_map &members);
+    /// Sets the data centres to whose servers nothing is sent.
+    void setEvacuated(const std::set<data_centre_id> &dataCentres);
     /// \p hook is called when a reply shows that the view of the servers is out of date.
     void setOutdatedViewHook(std::function<void()> hook);
     /// Returns what was measured of the servers since the last call.
--- a/include/peridotwheel/gateway/wire_dialect.h
+++ b/include/peridotwheel/gateway/wire_dialect.h
@@ -2,6 +2,7 @@
 #define PERIDOTWHEEL_GATEWAY_WIRE_DIALECT_H
 
 #include "peridotwheel/gateway/backend_record.h"
+#include "peridotwheel/gateway/route.h"
 #include "peridotwheel/http/client_connection.h"
 #include "peridotwheel/http/message_parser.h"
 #include "peridotwheel/support/error.h"
@@ -21,6 +22,30 @@
     std::optional<duration> timeBudget;
 };
 
+/// How a request states the key of its team.
+enum class key_presence {
+    Absent,
+    Unusable, ///< Another scheme, or no valid key.
+    Repeated, ///< More than one header, so that the key is ambiguous.
+    Present,
+};
+
+struct caller_key
+{
+    key_presence presence = key_presence::Absent;
+    /// Valid for `Present`. Must not appear in logs, metrics or errors.
+    std::string key;
+};
+
+/// The team for which a request is run.
+struct caller_identity
+{
+    /// Whether the configuration has teams, so that keys are read and not forwarded.
+    bool isAuthenticationOn = false;
+    /// Null if no team is known, as on public routes.
+    team_ptr team;
+};
+
 /// A caller's request in the form in which it is sent to backend servers, without the parts that
 /// differ from server to server.
 struct outgoing_request
@@ -49,12 +74,16 @@
     bool isLeaving = false;
     /// How long the server wants no further request from this instance; only with a rejection.
     std::optional<duration> holdOff;
+    /// How much longer the server stays cold; absent if it does not state it.
+    std::optional<duration> coldRemaining;
 };
 
 /// Why the gateway replies itself instead of forwarding an answer.
 enum class refusal_kind {
     NotRun,           ///< The request did not run and will not; it may be sent again.
     NoRoute,          ///< The configuration has no route for it.
+    Unauthenticated,  ///< It has no valid key of a team.
+    OverAllotment,    ///< Its team has used up its allotment; the request did not run.
     BadRequest,       ///< The request is malformed; sending it again does not help.
     NoAnswer,         ///< The request may have run; no usable answer arrived.
     DeadlineExceeded, ///< The request may have run; its deadline has passed.
@@ -64,7 +93,7 @@
 struct refusal
 {
     refusal_kind kind = refusal_kind::NotRun;
-    /// Delay after which the caller may retry; only with `NotRun`.
+    /// Delay after which the caller may retry; only with `NotRun` and `OverAllotment`.
     std::optional<duration> retryAfter;
     std::string text;
 };
@@ -88,8 +117,9 @@
 
     /// Fails if the request has no valid id.
     virtual result<caller_terms> readTerms(const opaque_request &request) const = 0;
-    virtual outgoing_request prepare(const opaque_request &request,
-                                     const caller_terms &terms) const = 0;
+    virtual caller_key readKey(const opaque_request &request) const = 0;
+    virtual outgoing_request prepare(const opaque_request &request, const caller_terms &terms,
+                                     const caller_identity &identity) const = 0;
     /// Returns the request for \p server, which states \p left as the time that is left for it.
     virtual exchange_request addressTo(const outgoing_request &request,
                                        const backend_record &server, duration left) const = 0;
--- a/lib/gateway/backend_server.cpp
+++ b/lib/gateway/backend_server.cpp
@@ -26,6 +26,8 @@
 constexpr duration surplusIdleTimeout = seconds(2);
 /// A server whose last connection was idle for this long at its end is not needed at present.
 constexpr duration unneededAfter = seconds(5);
+/// The limit of a cold server ends with its coldness, of which it or the store informs.
+constexpr duration coldLimitLifetime = std::chrono::hours(24);
 /// Interval and timeout of the health checks of a suspected server.
 constexpr duration checkInterval = milliseconds(300);
 constexpr duration checkTimeout = milliseconds(700);
@@ -64,6 +66,7 @@
     , m_healthCheckPath(std::move(healthCheckPath))
     , m_health(assumedRoundTrip, m_env.loop.now())
     , m_limit(m_env.limitLifetime)
+    , m_coldLimit(coldLimitLifetime)
     , m_coldUntil(m_env.loop.now() + m_record.coldRemaining)
 {
 }
@@ -73,7 +76,7 @@
 void backend_server::update(const backend_record &record)
 {
     m_record = record;
-    m_coldUntil = m_env.loop.now() + record.coldRemaining;
+    setColdFor(record.coldRemaining);
     if (isDraining())
         drain();
 }
@@ -103,9 +106,45 @@
         complete(a, {});
 }
 
+void backend_server::setEvacuated(bool isEvacuated)
+{
+    if (std::exchange(m_isEvacuated, isEvacuated) == isEvacuated)
+        return;
+    const auto self = shared_from_this();
+    if (isEvacuated)
+        failWaiting();
+}
+
+void backend_server::setColdLimit(std::optional<request_rate> limit)
+{
+    m_namedColdLimit = limit;
+    updateColdLimit();
+}
+
+void backend_server::setColdFor(duration left)
+{
+    m_coldUntil = m_env.loop.now() + left;
+    updateColdLimit();
+}
+
+void backend_server::updateColdLimit()
+{
+    const time_point now = m_env.loop.now();
+    const bool isLimited = m_namedColdLimit && now < m_coldUntil;
+    if (m_coldLimit.onAnswer(isLimited ? m_namedColdLimit : std::nullopt, now))
+        m_env.onStateChanged(*this, isLimited ? "server_cold" : "server_cold_ended");
+    updateLimitShare();
+}
+
+duration backend_server::limitDelay(std::size_t ahead) const
+{
+    const time_point now = m_env.loop.now();
+    return std::max(m_limit.delay(ahead, now), m_coldLimit.delay(ahead, now));
+}
+
 bool backend_server::wantsNoRequests() const
 {
-    return isDraining() || m_env.loop.now() < m_heldOffUntil;
+    return isDraining() || m_isEvacuated || m_env.loop.now() < m_heldOffUntil;
 }
 
 void backend_server::failWaitingIfUnwanted()
@@ -116,9 +155,10 @@
 
 duration backend_server::availableIn() const
 {
-    const time_point now = m_env.loop.now();
-    const duration heldOff = std::max(m_heldOffUntil - now, duration::zero());
-    return std::max(heldOff, m_limit.delay(m_waiting.size(), now));
+    if (m_isEvacuated)
+        return server_limit::unavailable;
+    const duration heldOff = std::max(m_heldOffUntil - m_env.loop.now(), duration::zero());
+    return std::max(heldOff, limitDelay(m_waiting.size()));
 }
 
 placement_candidate backend_server::candidate() const
@@ -135,7 +175,7 @@
             std::count_if(m_slots.begin(), m_slots.end(), [](const auto &s) { return s->isOpen; }));
     c.slots = m_record.slots;
     c.waitingAttempts = m_waiting.size();
-    c.sendDelay = m_limit.delay(m_waiting.size(), now);
+    c.sendDelay = limitDelay(m_waiting.size());
     c.isUsable = c.isUsable && c.sendDelay < server_limit::unavailable;
     return c;
 }
@@ -242,7 +282,7 @@
         opening += s->isOpen ? 0 : 1;
     // Attempts that wait for the server's limit need no connection each.
     std::size_t needed = m_waiting.size();
-    if (m_limit.delay(0, m_env.loop.now()) > duration::zero())
+    if (limitDelay(0) > duration::zero())
         needed = idleSlot(true) != nullptr ? 0 : std::min<std::size_t>(needed, 1);
     while (opening < needed && mayOpen()) {
         open(connection_event::OpenedForAttempt);
@@ -350,12 +390,13 @@
             ++it;
             continue;
         }
-        if (!m_limit.take(now)) {
-            const duration delay = m_limit.delay(0, now);
+        if (const duration delay = limitDelay(0); delay > duration::zero()) {
             if (delay < server_limit::unavailable)
                 m_limitTimer = m_env.loop.schedule(delay, [this] { dispatch(); });
             break;
         }
+        m_limit.take(now);
+        m_coldLimit.take(now);
         const backend_attempt_ptr a = it->second;
         it = m_waiting.erase(it);
         send(*s, a);
@@ -571,6 +612,8 @@
     const server_notice notice = m_env.dialect.readNotice(reply);
     if (m_limit.onAnswer(notice.limit, m_env.loop.now()))
         onLimitChanged();
+    if (notice.coldRemaining)
+        setColdFor(*notice.coldRemaining);
     if (notice.isLeaving && !isDraining()) {
         // Holds until the server's next start, since the entry in the store may lag behind.
         m_isDraining = true;
@@ -593,8 +636,11 @@
 
 void backend_server::updateLimitShare()
 {
+    const time_point now = m_env.loop.now();
     if (const auto named = limit())
-        m_limit.setOwnShare(m_env.ownShareOfLimit(m_record, *named), m_env.loop.now());
+        m_limit.setOwnShare(m_env.ownShareOfLimit(m_record, *named), now);
+    if (const auto cold = m_coldLimit.limit(now))
+        m_coldLimit.setOwnShare(m_env.ownShareOfLimit(m_record, *cold), now);
 }
 
 server_samples backend_server::takeSamples()
@@ -616,6 +662,8 @@
 {
     const auto self = shared_from_this();
     const time_point now = m_env.loop.now();
+    if (m_coldLimit.limit(now) && now >= m_coldUntil)
+        updateColdLimit();
     endOverdueAttempts(now);
     closeStale(now);
     checkHealth(now);
--- a/lib/gateway/cluster_view.cpp
+++ b/lib/gateway/cluster_view.cpp
@@ -1,6 +1,7 @@
 #include "peridotwheel/gateway/cluster_view.h"
 
 #include "peridotwheel/gateway/decision_log.h"
+#include "view_watch_options.h"
 
 #include <algorithm>
 #include <set>
@@ -24,7 +25,9 @@
 /// Source logged for a configuration that this instance read from the store itself.
 constexpr std::string_view storeSource = "store";
 
-object_watcher_options watchOptions(duration applyWithin)
+} // namespace
+
+object_watcher_options viewWatchOptions(duration applyWithin)
 {
     object_watcher_options o;
     o.watchWait = scaled(applyWithin, watchWaitFraction);
@@ -40,8 +43,6 @@
     return o;
 }
 
-} // namespace
-
 cluster_view::cluster_view(event_loop &loop, platform_client &store, counter_set &counters,
                            decision_log &log, std::uint64_t seed, duration applyWithin,
                            cluster_documents documents, cluster_view_hooks hooks)
@@ -51,9 +52,9 @@
     , m_documents(std::move(documents))
     , m_hooks(std::move(hooks))
     , m_configurationWatch(loop, store, counters, m_documents.configurationKind, seed,
-                           watchOptions(applyWithin), nullptr)
+                           viewWatchOptions(applyWithin), nullptr)
     , m_serverWatch(loop, store, counters, m_documents.serverKind, seed + 1,
-                    watchOptions(applyWithin), nullptr)
+                    viewWatchOptions(applyWithin), nullptr)
 {
     m_configurationWatch.setReadHook([this](const watch_result &read, bool) {
         onReadSucceeded();
--- /dev/null
+++ b/lib/gateway/evacuation_view.h
@@ -0,0 +1,62 @@
+#ifndef PERIDOTWHEEL_LIB_GATEWAY_EVACUATION_VIEW_H
+#define PERIDOTWHEEL_LIB_GATEWAY_EVACUATION_VIEW_H
+
+#include "peridotwheel/gateway/evacuation_list.h"
+#include "peridotwheel/platform/object_watcher.h"
+
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace peridotwheel {
+
+class decision_log;
+
+/// The data centres that operators have evacuated, as known to this instance.
+///
+/// Read from the store by the instances that watch it, and taken over from their views by the
+/// others. A list that could not be read leaves the last one in force, so that an evacuation lasts
+/// through an outage of the store.
+class evacuation_view
+{
+public:
+    struct settings
+    {
+        /// Kind of the store's objects; their names are data centres.
+        std::string kind;
+        std::uint64_t seed = 0;
+        /// Longest time from a change in the store until it is applied here.
+        duration applyWithin = seconds(5);
+    };
+
+    using evacuations_hook = std::function<void(const std::set<data_centre_id> &)>;
+
+    /// \p onChanged is called with all evacuated data centres after each change.
+    evacuation_view(event_loop &loop, platform_client &store, counter_set &counters,
+                    decision_log &log, const settings &s, evacuations_hook onChanged);
+    evacuation_view(const evacuation_view &) = delete;
+    evacuation_view &operator=(const evacuation_view &) = delete;
+    ~evacuation_view();
+
+    /// Starts or stops watching the store.
+    void setWatching(bool watching);
+    /// Takes over the list of another instance if it is newer.
+    void merge(const evacuation_list &other);
+    /// Returns the list in force; absent until one is known.
+    const std::optional<evacuation_list> &list() const { return m_list; }
+
+private:
+    void onRead(const watch_result &read, bool isFullList);
+    void apply(evacuation_list list, const char *source);
+
+    decision_log &m_log;
+    evacuations_hook m_onChanged;
+    object_watcher m_watch;
+    std::optional<evacuation_list> m_list;
+    bool m_isStarted = false;
+};
+
+} // namespace peridotwheel
+
+#endif
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -15,6 +15,25 @@
 /// within their time limits, which are seconds.
 constexpr duration instanceFullRetryAfter = seconds(1);
 
+refusal authenticationFailure(key_presence presence)
+{
+    switch (presence) {
+    case key_presence::Absent:
+        return {refusal_kind::Unauthenticated, std::nullopt,
+                "this route needs a key; send it as 'Authorization: Bearer KEY'\n"};
+    case key_presence::Unusable:
+        return {refusal_kind::Unauthenticated, std::nullopt,
+                "no usable key; send one as 'Authorization: Bearer KEY'\n"};
+    case key_presence::Repeated:
+        return {refusal_kind::BadRequest, std::nullopt,
+                "more than one Authorization header; send one\n"};
+    case key_presence::Present:
+        break;
+    }
+    return {refusal_kind::Unauthenticated, std::nullopt,
+            "no team has this key; check that it was not withdrawn\n"};
+}
+
 } // namespace
 
 gateway::gateway(event_loop &loop, client_connector &connector, const wire_dialect &dialect,
@@ -34,6 +53,9 @@
             .add("version", static_cast<std::int64_t>(routes->version().value()))
             .add("routes", static_cast<std::int64_t>(routes->routes().size()));
     m_state->routes = std::move(routes);
+    m_state->teams.reset();
+    if (m_state->routes->teams())
+        m_state->teams.emplace(*m_state->routes->teams(), digest_seed(m_state->options.secret));
     m_state->updateAdmissions();
     m_state->updateShares();
 }
@@ -48,6 +70,11 @@
     m_state->setMembers(members);
 }
 
+void gateway::setEvacuated(const std::set<data_centre_id> &dataCentres)
+{
+    m_state->setEvacuated(dataCentres);
+}
+
 void gateway::setOutdatedViewHook(std::function<void()> hook)
 {
     m_state->onOutdatedView = std::move(hook);
@@ -109,6 +136,15 @@
                "no_route");
         return;
     }
+    const caller_key key = s.dialect.readKey(request);
+    caller_identity identity;
+    identity.isAuthenticationOn = s.teams.has_value();
+    if (s.teams && key.presence == key_presence::Present)
+        identity.team = s.teams->find(key.key);
+    if (s.teams && !r->isPublic && !identity.team) {
+        s.count.unauthenticated.add();
+        return refuse(authenticationFailure(key.presence), "no_valid_key");
+    }
     if (!terms) {
         refuse({refusal_kind::BadRequest, std::nullopt, terms.error().message + "\n"},
                "bad_request");
@@ -121,7 +157,7 @@
         return;
     }
     auto running = std::make_shared<running_request>(s, r, s.routes->version(), request,
-                                                     terms.value(), std::move(client));
+                                                     terms.value(), identity, std::move(client));
     s.running.insert(running);
     running->start();
 }
--- a/lib/gateway/gateway_instance.cpp
+++ b/lib/gateway/gateway_instance.cpp
@@ -1,5 +1,6 @@
 #include "peridotwheel/gateway/gateway_instance.h"
 
+#include "evacuation_view.h"
 #include "instance_directory.h"
 #include "metrics_text.h"
 #include "peridotwheel/counters/counter_set.h"
@@ -27,7 +28,7 @@
 constexpr duration lastAnswerMargin = milliseconds(200);
 constexpr duration drainCheckInterval = milliseconds(50);
 
-gateway_options optionsFrom(const gateway_settings &s)
+gateway_options optionsFrom(const gateway_settings &s, std::uint64_t secret)
 {
     gateway_options o;
     o.self = s.id;
@@ -35,6 +36,7 @@
     o.regions = s.regions;
     o.extraAttempts = s.extraAttempts;
     o.link = s.link;
+    o.secret = secret;
     return o;
 }
 
@@ -61,6 +63,8 @@
 
 private:
     instance_directory::initial_read initialRead() const;
+    std::unique_ptr<evacuation_view> makeEvacuationView(platform_client &store, std::uint64_t seed);
+    evacuation_hooks evacuationHooks();
     void answerReadiness(http_responder &client);
     void answerMetrics(http_responder &client);
     bool isReady() const { return !m_stopping && m_gateway.isReady(); }
@@ -76,6 +80,8 @@
     gateway m_gateway;
     instance_directory m_directory;
     cluster_view m_view;
+    /// Null if the settings have no evacuations.
+    std::unique_ptr<evacuation_view> m_evacuations;
     view_exchange m_exchange;
     stream_server m_callers;
     stream_server m_readiness;
@@ -103,7 +109,7 @@
               }))
     , m_serverConnector(loop, maxServerReplyBytes, m_serverReplies, tcp_keepalive::Off)
     , m_gateway(loop, m_serverConnector, environment.dialect, m_counters, log,
-                optionsFrom(m_settings))
+                optionsFrom(m_settings, seed))
     , m_directory(loop, environment.store, log, selfFrom(m_settings), seed,
                   [this](const member_map &members) {
                       m_gateway.setInstances(members);
@@ -113,10 +119,12 @@
              std::move(environment.documents),
              {[this](route_table_ptr routes) { m_gateway.setRoutes(std::move(routes)); },
               [this](const backend_map &servers) { m_gateway.setServers(servers); }})
+    , m_evacuations(makeEvacuationView(environment.store, seed))
     , m_exchange(loop, m_view, m_directory, environment.http, log,
                  {seed, m_settings.applyWithin, m_settings.link},
                  {[this] { return m_gateway.takeReports(); },
-                  [this](const server_hints &hints) { m_gateway.setHints(hints); }})
+                  [this](const server_hints &hints) { m_gateway.setHints(hints); }},
+                 evacuationHooks())
     , m_callers(
               loop, [this] { return m_gateway.limits(); },
               [this](const opaque_request &request, std::shared_ptr<http_responder> client) {
@@ -140,6 +148,29 @@
 {
 }
 
+std::unique_ptr<evacuation_view> gateway_instance::impl::makeEvacuationView(platform_client &store,
+                                                                            std::uint64_t seed)
+{
+    if (!m_settings.evacuateWithin)
+        return nullptr;
+    return std::make_unique<evacuation_view>(
+            m_loop, store, m_counters, m_log,
+            evacuation_view::settings{m_view.documents().evacuationKind, seed + 2,
+                                      *m_settings.evacuateWithin},
+            [this](const std::set<data_centre_id> &dataCentres) {
+                m_gateway.setEvacuated(dataCentres);
+            });
+}
+
+evacuation_hooks gateway_instance::impl::evacuationHooks()
+{
+    if (!m_evacuations)
+        return {};
+    return {[this] { return m_evacuations->list(); },
+            [this](const evacuation_list &list) { m_evacuations->merge(list); },
+            [this](bool watching) { m_evacuations->setWatching(watching); }};
+}
+
 result<void> gateway_instance::impl::start()
 {
     m_gateway.setOutdatedViewHook(
--- a/lib/gateway/gateway_state.cpp
+++ b/lib/gateway/gateway_state.cpp
@@ -47,6 +47,7 @@
     , partial(set.at("gateway.partial_answers"))
     , late(set.at("gateway.late_answers"))
     , refused(set.at("gateway.refused_not_run"))
+    , unauthenticated(set.at("gateway.unauthenticated"))
     , failed(set.at("gateway.failed"))
     , clientsGone(set.at("gateway.clients_gone"))
     , attempts(set.at("gateway.attempts"))
@@ -206,10 +207,12 @@
                     .add("service", record.service.value())
                     .add("draining", record.draining ? "yes" : "no");
             server->update(record);
+            server->setEvacuated(evacuated.count(record.dataCentre) != 0);
             continue;
         }
         server = makeServer(record);
         updateShare(*server);
+        server->setEvacuated(evacuated.count(record.dataCentre) != 0);
         groupOf(record.service)->servers.push_back(server);
         m_isFullRoundDue = true;
         log.state("server_joined")
@@ -232,6 +235,16 @@
         log.state("instances_known").add("count", static_cast<std::int64_t>(instances()));
 }
 
+void gateway_state::setEvacuated(const std::set<data_centre_id> &dataCentres)
+{
+    evacuated = dataCentres;
+    // Attempts that wait for an evacuated server may be given to others meanwhile.
+    const auto all = servers;
+    for (const auto &[id, server] : all)
+        server->setEvacuated(evacuated.count(server->record().dataCentre) != 0);
+    m_isFullRoundDue = true;
+}
+
 void gateway_state::updateShares()
 {
     for (const auto &[id, server] : servers)
@@ -243,6 +256,7 @@
 {
     const backend_record &record = server.record();
     const service_spec *spec = routes ? routes->service(record.service) : nullptr;
+    server.setColdLimit(spec != nullptr ? spec->coldLimit : std::nullopt);
     // The share follows from the list of instances. An instance that has received none in time
     // takes one connection.
     const bool isDiscoveryOver = loop.now() - m_startedAt >= memberDiscoveryTimeout;
--- a/lib/gateway/gateway_state.h
+++ b/lib/gateway/gateway_state.h
@@ -11,10 +11,12 @@
 #include "peridotwheel/limits/connection_share.h"
 #include "peridotwheel/support/random_source.h"
 #include "retry_advice.h"
+#include "team_directory.h"
 #include "work_estimate.h"
 
 #include <map>
 #include <memory>
+#include <set>
 #include <unordered_set>
 #include <vector>
 
@@ -53,6 +55,7 @@
     counter &partial;
     counter &late;
     counter &refused;
+    counter &unauthenticated;
     counter &failed;
     counter &clientsGone;
     counter &attempts;
@@ -84,6 +87,7 @@
     service_group_ptr groupOf(const service_name &name);
     void setServers(const backend_map &records);
     void setMembers(const member_map &view);
+    void setEvacuated(const std::set<data_centre_id> &dataCentres);
     void updateShares();
     /// Returns the number of instances that share limits, this one included, or 0 while they are
     /// unknown.
@@ -109,7 +113,10 @@
     decision_log &log;
     gateway_options options;
     route_table_ptr routes;
+    /// The teams of the configuration in force; absent if callers do not authenticate.
+    std::optional<team_directory> teams;
     member_map members;
+    std::set<data_centre_id> evacuated;
     connection_share share;
     /// Called when a reply shows that the view of the servers is out of date.
     std::function<void()> onOutdatedView;
--- a/lib/gateway/running_request.cpp
+++ b/lib/gateway/running_request.cpp
@@ -18,13 +18,16 @@
 
 running_request::running_request(gateway_state &state, route_ptr r, configuration_version version,
                                  const opaque_request &request, const caller_terms &terms,
+                                 const caller_identity &identity,
                                  std::shared_ptr<http_responder> client)
     : m_state(state)
     , m_route(std::move(r))
+    , m_rank(identity.team && identity.team->rank ? *identity.team->rank : m_route->rank)
+    , m_homes(*m_route, identity.team.get(), state.options.regions)
     , m_admission(state.admissionOf(*m_route))
     , m_number(state.nextQuery())
     , m_version(version)
-    , m_request(std::make_shared<outgoing_request>(state.dialect.prepare(request, terms)))
+    , m_request(std::make_shared<outgoing_request>(state.dialect.prepare(request, terms, identity)))
     , m_client(std::move(client))
     , m_trace(terms.id, state.loop.now(), state.loop.processorTime())
     , m_timer(state.loop, [this] { onTimer(); })
@@ -90,7 +93,7 @@
         return true;
     const duration work = m_state.workOf(*m_route).onIdleServers();
     const time_point now = m_state.loop.now();
-    if (m_admission->admit(m_route->rank, work, m_state.random.fraction(), now))
+    if (m_admission->admit(m_rank, work, m_state.random.fraction(), now))
         return true;
     m_trace.add(now, "not_admitted", "", "", toMilliseconds(m_admission->queueing()));
     refuse(m_admission->retryAfter(m_state.random.fraction()),
--- a/lib/gateway/running_request.h
+++ b/lib/gateway/running_request.h
@@ -4,6 +4,7 @@
 #include "gateway_state.h"
 #include "peridotwheel/gateway/answer_policy.h"
 #include "peridotwheel/support/earliest_timer.h"
+#include "region_filter.h"
 #include "request_trace.h"
 
 #include <functional>
@@ -24,7 +25,7 @@
 public:
     running_request(gateway_state &state, route_ptr r, configuration_version version,
                     const opaque_request &request, const caller_terms &terms,
-                    std::shared_ptr<http_responder> client);
+                    const caller_identity &identity, std::shared_ptr<http_responder> client);
 
     /// Runs the request, or refuses it if it is not admitted.
     void start();
@@ -155,6 +156,9 @@
 
     gateway_state &m_state;
     route_ptr m_route;
+    /// That of the team or, if it has none, of the route.
+    class_rank m_rank;
+    region_filter m_homes;
     /// Absent for plain requests.
     std::shared_ptr<admission_share> m_admission;
     query_number m_number;
--- a/lib/gateway/running_request_answer.cpp
+++ b/lib/gateway/running_request_answer.cpp
@@ -165,8 +165,10 @@
         duration wait{};
         if (!p.isAnswered && !p.group->servers.empty()) {
             wait = server_limit::unavailable;
-            for (const auto &server : p.group->servers)
-                wait = std::min(wait, server->availableIn());
+            for (const auto &server : p.group->servers) {
+                if (m_homes.allows(server->record().dataCentre))
+                    wait = std::min(wait, server->availableIn());
+            }
         }
         waits.push_back(wait);
     }
@@ -277,7 +279,7 @@
     const bool late = at > m_times.targetEnd;
     if (status < firstFailure) {
         m_state.count.answered.add();
-        m_state.latency.add(m_route->rank, at - m_times.arrival);
+        m_state.latency.add(m_rank, at - m_times.arrival);
         if (late)
             m_state.count.late.add();
     }
--- a/lib/gateway/running_request_retry.cpp
+++ b/lib/gateway/running_request_retry.cpp
@@ -28,7 +28,8 @@
         const bool tried = std::find(p.tried.begin(), p.tried.end(), server.get()) != p.tried.end();
         const bool isLive = std::any_of(p.live.begin(), p.live.end(),
                                         [&](const auto &l) { return l.server == server; });
-        c.isUsable = c.isUsable && !isLive && (allowTried || !tried);
+        c.isUsable = c.isUsable && !isLive && (allowTried || !tried) &&
+                     m_homes.allows(server->record().dataCentre);
         candidates.push_back(c);
     }
     return chooseServers(candidates, m_state.workOf(*m_route).typical(), m_state.loop.now());
@@ -56,7 +57,7 @@
     const backend_server_ptr server = p.group->servers[best->index];
     const time_point now = m_state.loop.now();
     attempt_spec spec;
-    spec.rank = m_route->rank;
+    spec.rank = m_rank;
     spec.deadline = m_times.deadline;
     spec.work = m_state.workOf(*m_route).typical();
     spec.needsProvenConnection = !isIdempotent();
@@ -193,7 +194,7 @@
 bool running_request::takeExtraAttempt(part &p)
 {
     const time_point now = m_state.loop.now();
-    const double reserve = std::min(reservePerRank * m_route->rank.value(), maxReserve);
+    const double reserve = std::min(reservePerRank * m_rank.value(), maxReserve);
     if (p.group->extra.tryTake(now, m_state.instances(), reserve))
         return true;
     m_state.count.budgetDenied.add();
--- a/lib/gateway/view_codec.cpp
+++ b/lib/gateway/view_codec.cpp
@@ -209,6 +209,13 @@
         out.__set_compressedInstances(toWire(*snapshot.compressedInstances));
     if (!snapshot.hints.empty())
         out.__set_hints(toWire(snapshot.hints));
+    if (snapshot.evacuations) {
+        out.__set_evacuationsAt(static_cast<std::int64_t>(snapshot.evacuations->revision.value()));
+        std::vector<std::string> names;
+        for (const auto &dataCentre : snapshot.evacuations->dataCentres)
+            names.push_back(dataCentre.value());
+        out.__set_evacuated(names);
+    }
     return encodeThrift(out);
 }
 
@@ -245,6 +252,12 @@
     }
     if (in.__isset.hints)
         out.hints = fromWire(in.hints);
+    if (in.__isset.evacuationsAt) {
+        out.evacuations.emplace();
+        out.evacuations->revision = object_version(static_cast<std::uint64_t>(in.evacuationsAt));
+        for (const auto &name : in.evacuated)
+            out.evacuations->dataCentres.insert(data_centre_id(name));
+    }
     return out;
 }
 
--- a/lib/gateway/view_exchange.cpp
+++ b/lib/gateway/view_exchange.cpp
@@ -50,7 +50,8 @@
 
 view_exchange::view_exchange(event_loop &loop, cluster_view &view, instance_directory &directory,
                              http_client &http, decision_log &log,
-                             const view_exchange_options &options, report_hooks reports)
+                             const view_exchange_options &options, report_hooks reports,
+                             evacuation_hooks evacuations)
     : m_loop(loop)
     , m_view(view)
     , m_directory(directory)
@@ -77,6 +78,7 @@
                                   m_view.applyConfiguration(object, source.address);
                               }})
     , m_reports(std::move(reports))
+    , m_evacuations(std::move(evacuations))
 {
 }
 
@@ -121,6 +123,8 @@
     input.staleAge = m_staleAge;
     m_view.setWatching(shouldWatch(input));
     m_directory.setReading(m_view.isWatching());
+    if (m_evacuations.setWatching)
+        m_evacuations.setWatching(m_view.isWatching());
     // Without the store no entry can be removed, and an instance that is partitioned from the store
     // may be partitioned from the probed members as well.
     m_sweeper.setActive(m_hasMembers && m_view.isWatching() && !m_view.isStoreUnavailable());
@@ -263,6 +267,8 @@
         m_localWatcherFails = read.value().age > m_freshAge;
         m_reports.onHints(read.value().hints);
     }
+    if (read.value().evacuations && m_evacuations.merge)
+        m_evacuations.merge(*read.value().evacuations);
     read.value().source = from.address;
     m_view.merge(read.value());
     m_configurationFetcher.announce(read.value().configurationVersion, from);
@@ -308,6 +314,8 @@
         all.instancesRevision = m_directory.revision();
         all.instances = m_directory.objects();
     }
+    if (m_evacuations.list)
+        all.evacuations = m_evacuations.list();
     if (position.readsCompressedLists)
         limitLists(all);
     if (position.reports) {
--- a/lib/gateway/view_exchange.h
+++ b/lib/gateway/view_exchange.h
@@ -33,6 +33,16 @@
     std::function<void(const server_hints &hints)> onHints;
 };
 
+/// Functions through which instances share the list of evacuated data centres. Empty functions
+/// where there are no evacuations.
+struct evacuation_hooks
+{
+    std::function<std::optional<evacuation_list>()> list;
+    std::function<void(const evacuation_list &)> merge;
+    /// Called with whether this instance watches the store.
+    std::function<void(bool watching)> setWatching;
+};
+
 struct view_exchange_options
 {
     std::uint64_t seed = 0;
@@ -50,7 +60,7 @@
 public:
     view_exchange(event_loop &loop, cluster_view &view, instance_directory &directory,
                   http_client &http, decision_log &log, const view_exchange_options &options,
-                  report_hooks reports);
+                  report_hooks reports, evacuation_hooks evacuations = {});
     view_exchange(const view_exchange &) = delete;
     view_exchange &operator=(const view_exchange &) = delete;
     ~view_exchange();
@@ -124,6 +134,7 @@
     configuration_source m_configurationSource;
     configuration_fetcher m_configurationFetcher;
     report_hooks m_reports;
+    evacuation_hooks m_evacuations;
     report_aggregator m_reportPool;
     timer m_timer;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
--- a/lib/peer/gen/peer_types.cpp
+++ b/lib/peer/gen/peer_types.cpp
@@ -3025,6 +3025,16 @@
   this->compressedInstances = val;
 __isset.compressedInstances = true;
 }
+
+void ViewReply::__set_evacuationsAt(const int64_t val) {
+  this->evacuationsAt = val;
+__isset.evacuationsAt = true;
+}
+
+void ViewReply::__set_evacuated(const std::vector<std::string> & val) {
+  this->evacuated = val;
+__isset.evacuated = true;
+}
 std::ostream& operator<<(std::ostream& out, const ViewReply& obj)
 {
   obj.printTo(out);
@@ -3209,6 +3219,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->evacuationsAt);
+          this->__isset.evacuationsAt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->evacuated.clear();
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->evacuated.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
+            {
+              xfer += iprot->readString(this->evacuated[_i108]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.evacuated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3247,10 +3285,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ViewObject> ::const_iterator _iter104;
-    for (_iter104 = this->servers.begin(); _iter104 != this->servers.end(); ++_iter104)
+    std::vector<ViewObject> ::const_iterator _iter109;
+    for (_iter109 = this->servers.begin(); _iter109 != this->servers.end(); ++_iter109)
     {
-      xfer += (*_iter104).write(oprot);
+      xfer += (*_iter109).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3268,10 +3306,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<ViewObject> ::const_iterator _iter105;
-    for (_iter105 = this->instances.begin(); _iter105 != this->instances.end(); ++_iter105)
+    std::vector<ViewObject> ::const_iterator _iter110;
+    for (_iter110 = this->instances.begin(); _iter110 != this->instances.end(); ++_iter110)
     {
-      xfer += (*_iter105).write(oprot);
+      xfer += (*_iter110).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3285,10 +3323,10 @@
     xfer += oprot->writeFieldBegin("hints", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->hints.size()));
-      std::vector<ServerHint> ::const_iterator _iter106;
-      for (_iter106 = this->hints.begin(); _iter106 != this->hints.end(); ++_iter106)
+      std::vector<ServerHint> ::const_iterator _iter111;
+      for (_iter111 = this->hints.begin(); _iter111 != this->hints.end(); ++_iter111)
       {
-        xfer += (*_iter106).write(oprot);
+        xfer += (*_iter111).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3303,10 +3341,10 @@
     xfer += oprot->writeFieldBegin("goneServers", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->goneServers.size()));
-      std::vector<std::string> ::const_iterator _iter107;
-      for (_iter107 = this->goneServers.begin(); _iter107 != this->goneServers.end(); ++_iter107)
+      std::vector<std::string> ::const_iterator _iter112;
+      for (_iter112 = this->goneServers.begin(); _iter112 != this->goneServers.end(); ++_iter112)
       {
-        xfer += oprot->writeString((*_iter107));
+        xfer += oprot->writeString((*_iter112));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3327,6 +3365,24 @@
     xfer += this->compressedInstances.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.evacuationsAt) {
+    xfer += oprot->writeFieldBegin("evacuationsAt", ::apache::thrift::protocol::T_I64, 14);
+    xfer += oprot->writeI64(this->evacuationsAt);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.evacuated) {
+    xfer += oprot->writeFieldBegin("evacuated", ::apache::thrift::protocol::T_LIST, 15);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->evacuated.size()));
+      std::vector<std::string> ::const_iterator _iter113;
+      for (_iter113 = this->evacuated.begin(); _iter113 != this->evacuated.end(); ++_iter113)
+      {
+        xfer += oprot->writeString((*_iter113));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3347,40 +3403,46 @@
   swap(a.configurationVersion, b.configurationVersion);
   swap(a.compressedServers, b.compressedServers);
   swap(a.compressedInstances, b.compressedInstances);
+  swap(a.evacuationsAt, b.evacuationsAt);
+  swap(a.evacuated, b.evacuated);
   swap(a.__isset, b.__isset);
 }
 
-ViewReply::ViewReply(const ViewReply& other108) {
-  configuration = other108.configuration;
-  serversAt = other108.serversAt;
-  servers = other108.servers;
-  ageMs = other108.ageMs;
-  instancesAt = other108.instancesAt;
-  instances = other108.instances;
-  missingForMs = other108.missingForMs;
-  hints = other108.hints;
-  serversSince = other108.serversSince;
-  goneServers = other108.goneServers;
-  configurationVersion = other108.configurationVersion;
-  compressedServers = other108.compressedServers;
-  compressedInstances = other108.compressedInstances;
-  __isset = other108.__isset;
-}
-ViewReply& ViewReply::operator=(const ViewReply& other109) {
-  configuration = other109.configuration;
-  serversAt = other109.serversAt;
-  servers = other109.servers;
-  ageMs = other109.ageMs;
-  instancesAt = other109.instancesAt;
-  instances = other109.instances;
-  missingForMs = other109.missingForMs;
-  hints = other109.hints;
-  serversSince = other109.serversSince;
-  goneServers = other109.goneServers;
-  configurationVersion = other109.configurationVersion;
-  compressedServers = other109.compressedServers;
-  compressedInstances = other109.compressedInstances;
-  __isset = other109.__isset;
+ViewReply::ViewReply(const ViewReply& other114) {
+  configuration = other114.configuration;
+  serversAt = other114.serversAt;
+  servers = other114.servers;
+  ageMs = other114.ageMs;
+  instancesAt = other114.instancesAt;
+  instances = other114.instances;
+  missingForMs = other114.missingForMs;
+  hints = other114.hints;
+  serversSince = other114.serversSince;
+  goneServers = other114.goneServers;
+  configurationVersion = other114.configurationVersion;
+  compressedServers = other114.compressedServers;
+  compressedInstances = other114.compressedInstances;
+  evacuationsAt = other114.evacuationsAt;
+  evacuated = other114.evacuated;
+  __isset = other114.__isset;
+}
+ViewReply& ViewReply::operator=(const ViewReply& other115) {
+  configuration = other115.configuration;
+  serversAt = other115.serversAt;
+  servers = other115.servers;
+  ageMs = other115.ageMs;
+  instancesAt = other115.instancesAt;
+  instances = other115.instances;
+  missingForMs = other115.missingForMs;
+  hints = other115.hints;
+  serversSince = other115.serversSince;
+  goneServers = other115.goneServers;
+  configurationVersion = other115.configurationVersion;
+  compressedServers = other115.compressedServers;
+  compressedInstances = other115.compressedInstances;
+  evacuationsAt = other115.evacuationsAt;
+  evacuated = other115.evacuated;
+  __isset = other115.__isset;
   return *this;
 }
 void ViewReply::printTo(std::ostream& out) const {
@@ -3399,6 +3461,8 @@
   out << ", " << "configurationVersion="; (__isset.configurationVersion ? (out << to_string(configurationVersion)) : (out << "<null>"));
   out << ", " << "compressedServers="; (__isset.compressedServers ? (out << to_string(compressedServers)) : (out << "<null>"));
   out << ", " << "compressedInstances="; (__isset.compressedInstances ? (out << to_string(compressedInstances)) : (out << "<null>"));
+  out << ", " << "evacuationsAt="; (__isset.evacuationsAt ? (out << to_string(evacuationsAt)) : (out << "<null>"));
+  out << ", " << "evacuated="; (__isset.evacuated ? (out << to_string(evacuated)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3540,17 +3604,17 @@
   swap(a.askerAt, b.askerAt);
 }
 
-ConfigurationRequest::ConfigurationRequest(const ConfigurationRequest& other110) {
-  knownVersion = other110.knownVersion;
-  documentChecksum = other110.documentChecksum;
-  offset = other110.offset;
-  askerAt = other110.askerAt;
+ConfigurationRequest::ConfigurationRequest(const ConfigurationRequest& other116) {
+  knownVersion = other116.knownVersion;
+  documentChecksum = other116.documentChecksum;
+  offset = other116.offset;
+  askerAt = other116.askerAt;
 }
-ConfigurationRequest& ConfigurationRequest::operator=(const ConfigurationRequest& other111) {
-  knownVersion = other111.knownVersion;
-  documentChecksum = other111.documentChecksum;
-  offset = other111.offset;
-  askerAt = other111.askerAt;
+ConfigurationRequest& ConfigurationRequest::operator=(const ConfigurationRequest& other117) {
+  knownVersion = other117.knownVersion;
+  documentChecksum = other117.documentChecksum;
+  offset = other117.offset;
+  askerAt = other117.askerAt;
   return *this;
 }
 void ConfigurationRequest::printTo(std::ostream& out) const {
@@ -3708,14 +3772,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holders.clear();
-            uint32_t _size112;
-            ::apache::thrift::protocol::TType _etype115;
-            xfer += iprot->readListBegin(_etype115, _size112);
-            this->holders.resize(_size112);
-            uint32_t _i116;
-            for (_i116 = 0; _i116 < _size112; ++_i116)
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->holders.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
             {
-              xfer += iprot->readString(this->holders[_i116]);
+              xfer += iprot->readString(this->holders[_i122]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3794,10 +3858,10 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->holders.size()));
-    std::vector<std::string> ::const_iterator _iter117;
-    for (_iter117 = this->holders.begin(); _iter117 != this->holders.end(); ++_iter117)
+    std::vector<std::string> ::const_iterator _iter123;
+    for (_iter123 = this->holders.begin(); _iter123 != this->holders.end(); ++_iter123)
     {
-      xfer += oprot->writeString((*_iter117));
+      xfer += oprot->writeString((*_iter123));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3821,27 +3885,27 @@
   swap(a.holders, b.holders);
 }
 
-ConfigurationReply::ConfigurationReply(const ConfigurationReply& other118) {
-  version = other118.version;
-  name = other118.name;
-  revision = other118.revision;
-  textBytes = other118.textBytes;
-  documentBytes = other118.documentBytes;
-  documentChecksum = other118.documentChecksum;
-  offset = other118.offset;
-  chunk = other118.chunk;
-  holders = other118.holders;
-}
-ConfigurationReply& ConfigurationReply::operator=(const ConfigurationReply& other119) {
-  version = other119.version;
-  name = other119.name;
-  revision = other119.revision;
-  textBytes = other119.textBytes;
-  documentBytes = other119.documentBytes;
-  documentChecksum = other119.documentChecksum;
-  offset = other119.offset;
-  chunk = other119.chunk;
-  holders = other119.holders;
+ConfigurationReply::ConfigurationReply(const ConfigurationReply& other124) {
+  version = other124.version;
+  name = other124.name;
+  revision = other124.revision;
+  textBytes = other124.textBytes;
+  documentBytes = other124.documentBytes;
+  documentChecksum = other124.documentChecksum;
+  offset = other124.offset;
+  chunk = other124.chunk;
+  holders = other124.holders;
+}
+ConfigurationReply& ConfigurationReply::operator=(const ConfigurationReply& other125) {
+  version = other125.version;
+  name = other125.name;
+  revision = other125.revision;
+  textBytes = other125.textBytes;
+  documentBytes = other125.documentBytes;
+  documentChecksum = other125.documentChecksum;
+  offset = other125.offset;
+  chunk = other125.chunk;
+  holders = other125.holders;
   return *this;
 }
 void ConfigurationReply::printTo(std::ostream& out) const {
--- a/lib/peer/gen/peer_types.h
+++ b/lib/peer/gen/peer_types.h
@@ -1024,7 +1024,7 @@
 std::ostream& operator<<(std::ostream& out, const CompressedObjects& obj);
 
 typedef struct _ViewReply__isset {
-  _ViewReply__isset() : configuration(false), serversAt(false), instancesAt(false), hints(false), serversSince(false), goneServers(false), configurationVersion(false), compressedServers(false), compressedInstances(false) {}
+  _ViewReply__isset() : configuration(false), serversAt(false), instancesAt(false), hints(false), serversSince(false), goneServers(false), configurationVersion(false), compressedServers(false), compressedInstances(false), evacuationsAt(false), evacuated(false) {}
   bool configuration :1;
   bool serversAt :1;
   bool instancesAt :1;
@@ -1034,6 +1034,8 @@
   bool configurationVersion :1;
   bool compressedServers :1;
   bool compressedInstances :1;
+  bool evacuationsAt :1;
+  bool evacuated :1;
 } _ViewReply__isset;
 
 class ViewReply : public virtual ::apache::thrift::TBase {
@@ -1047,7 +1049,8 @@
               instancesAt(0),
               missingForMs(0),
               serversSince(0),
-              configurationVersion(0) {
+              configurationVersion(0),
+              evacuationsAt(0) {
   }
 
   virtual ~ViewReply() noexcept;
@@ -1064,6 +1067,8 @@
   int64_t configurationVersion;
   CompressedObjects compressedServers;
   CompressedObjects compressedInstances;
+  int64_t evacuationsAt;
+  std::vector<std::string>  evacuated;
 
   _ViewReply__isset __isset;
 
@@ -1093,6 +1098,10 @@
 
   void __set_compressedInstances(const CompressedObjects& val);
 
+  void __set_evacuationsAt(const int64_t val);
+
+  void __set_evacuated(const std::vector<std::string> & val);
+
   bool operator == (const ViewReply & rhs) const
   {
     if (__isset.configuration != rhs.__isset.configuration)
@@ -1139,6 +1148,14 @@
       return false;
     else if (__isset.compressedInstances && !(compressedInstances == rhs.compressedInstances))
       return false;
+    if (__isset.evacuationsAt != rhs.__isset.evacuationsAt)
+      return false;
+    else if (__isset.evacuationsAt && !(evacuationsAt == rhs.evacuationsAt))
+      return false;
+    if (__isset.evacuated != rhs.__isset.evacuated)
+      return false;
+    else if (__isset.evacuated && !(evacuated == rhs.evacuated))
+      return false;
     return true;
   }
   bool operator != (const ViewReply &rhs) const {
--- a/proto/peer.thrift
+++ b/proto/peer.thrift
@@ -166,6 +166,10 @@
   // In place of `servers` and `instances`.
   12: optional CompressedObjects compressedServers
   13: optional CompressedObjects compressedInstances
+  // Revision at which the evacuated data centres were read, and their names. Absent where operators
+  // evacuate none, and from earlier versions of the program.
+  14: optional i64 evacuationsAt
+  15: optional list<string> evacuated
 }
 
 // The body of `POST /peer/configuration`: requests one chunk of the newest configuration, which is
--- a/unittests/gateway/exchange_fixture.h
+++ b/unittests/gateway/exchange_fixture.h
@@ -1,6 +1,7 @@
 #ifndef PERIDOTWHEEL_UNITTESTS_GATEWAY_EXCHANGE_FIXTURE_H
 #define PERIDOTWHEEL_UNITTESTS_GATEWAY_EXCHANGE_FIXTURE_H
 
+#include "lib/gateway/evacuation_view.h"
 #include "lib/gateway/instance_directory.h"
 #include "lib/gateway/view_codec.h"
 #include "lib/gateway/view_exchange.h"
@@ -10,6 +11,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -122,13 +124,19 @@
                             exchange->setMembers(members);
                     })
         , view(loop, store, counters, log, 1, applyWithin,
-               {"config", "main", "servers", &readNumber, &readName},
+               {"config", "main", "servers", "evacuations", &readNumber, &readName},
                {[](const route_table_ptr &) {}, [this](const backend_map &now) { servers = now; }})
+        , evacuations(loop, store, counters, log,
+                      evacuation_view::settings{"evacuations", 1, applyWithin},
+                      [this](const std::set<data_centre_id> &now) { evacuated = now; })
         , exchange(std::make_unique<view_exchange>(
                   loop, view, directory, network.clientOf(self.peers), log,
                   view_exchange_options{1, applyWithin, linkRate},
                   report_hooks{[this] { return std::exchange(reports, {}); },
-                               [this](const server_hints &h) { hints = h; }}))
+                               [this](const server_hints &h) { hints = h; }},
+                  evacuation_hooks{[this] { return evacuations.list(); },
+                                   [this](const evacuation_list &l) { evacuations.merge(l); },
+                                   [this](bool on) { evacuations.setWatching(on); }}))
     {
         network.peers[self.peers] = exchange.get();
     }
@@ -140,6 +148,8 @@
     backend_map servers;
     server_reports reports;
     server_hints hints;
+    std::set<data_centre_id> evacuated;
+    evacuation_view evacuations;
     std::unique_ptr<view_exchange> exchange;
 };
 
--- a/unittests/gateway/fake_backends.cpp
+++ b/unittests/gateway/fake_backends.cpp
@@ -19,7 +19,14 @@
     return terms;
 }
 
-outgoing_request fake_dialect::prepare(const opaque_request &, const caller_terms &terms) const
+caller_key fake_dialect::readKey(const opaque_request &request) const
+{
+    const std::string *key = request.header("Key");
+    return key != nullptr ? caller_key{key_presence::Present, *key} : caller_key();
+}
+
+outgoing_request fake_dialect::prepare(const opaque_request &, const caller_terms &terms,
+                                       const caller_identity &) const
 {
     outgoing_request out;
     out.id = terms.id;
@@ -67,6 +74,8 @@
     notice.isLeaving = reply.header("Leaving") != nullptr;
     if (const std::string *holdOff = reply.header("Hold-Off-Ms"))
         notice.holdOff = milliseconds(std::stoi(*holdOff));
+    if (const std::string *cold = reply.header("Cold-Ms"))
+        notice.coldRemaining = milliseconds(std::stoi(*cold));
     return notice;
 }
 
@@ -86,11 +95,11 @@
 
 http_reply fake_dialect::writeRefusal(const refusal &r) const
 {
-    static const std::map<refusal_kind, int> statuses{{refusal_kind::NotRun, 503},
-                                                      {refusal_kind::NoRoute, 404},
-                                                      {refusal_kind::BadRequest, 400},
-                                                      {refusal_kind::NoAnswer, 502},
-                                                      {refusal_kind::DeadlineExceeded, 504}};
+    static const std::map<refusal_kind, int> statuses{
+            {refusal_kind::NotRun, 503},          {refusal_kind::NoRoute, 404},
+            {refusal_kind::BadRequest, 400},      {refusal_kind::Unauthenticated, 401},
+            {refusal_kind::OverAllotment, 429},   {refusal_kind::NoAnswer, 502},
+            {refusal_kind::DeadlineExceeded, 504}};
     http_reply reply{statuses.at(r.kind), {}, r.text};
     if (r.retryAfter)
         reply.headers.emplace_back("Retry-After-Ms", std::to_string(r.retryAfter->count() / 1000));
--- a/unittests/gateway/fake_backends.h
+++ b/unittests/gateway/fake_backends.h
@@ -16,13 +16,15 @@
 namespace peridotwheel {
 
 /// A dialect of single words: a request is "ID LEFT-MS SERVER"; a reply carries its verdict in the
-/// header "V" and its seal in the header "S", and may have the notices "Limit", "Leaving"
-/// and "Hold-Off-Ms".
+/// header "V" and its seal in the header "S", and may have the notices "Limit", "Leaving",
+/// "Hold-Off-Ms" and "Cold-Ms".
 class fake_dialect : public wire_dialect
 {
 public:
     result<caller_terms> readTerms(const opaque_request &request) const override;
-    outgoing_request prepare(const opaque_request &, const caller_terms &terms) const override;
+    caller_key readKey(const opaque_request &request) const override;
+    outgoing_request prepare(const opaque_request &, const caller_terms &terms,
+                             const caller_identity &) const override;
     exchange_request addressTo(const outgoing_request &request, const backend_record &server,
                                duration left) const override;
     exchange_request healthCheck(const std::string &, const backend_record &) const override;
--- a/unittests/gateway/server_notice_test.cpp
+++ b/unittests/gateway/server_notice_test.cpp
@@ -181,6 +181,42 @@
     EXPECT_GE(servedShare(first), 0.99);
 }
 
+// A cold server that all instances used at once got many times what it bears.
+TEST_F(gateway_fleet_test, keepsAllInstancesWithinTheLimitOfColdServers)
+{
+    constexpr double coldLimit = 10;
+    startFleet(9);
+    run(seconds(5), 120);
+    route_configuration limited = configuration(2);
+    limited.services[service_name("s0")].coldLimit = request_rate(coldLimit);
+    for (const auto &each : fleet)
+        each->gate.setRoutes(std::make_shared<route_table>(limited));
+    // All servers of the shard are replaced by cold ones at once.
+    for (std::size_t replica = 0; replica < replicas; ++replica) {
+        backend_record &record =
+                servers.at(server_id("server-" + std::to_string(port(0, replica))));
+        record.start = start_id(2);
+        record.coldRemaining = seconds(6);
+    }
+    const time_point cold = loop.now();
+    for (const auto &each : fleet)
+        each->gate.setServers(servers);
+    run(seconds(5), 120);
+    for (std::size_t replica = 0; replica < replicas; ++replica) {
+        const auto &at = shardServer(0, replica).arrivedAt;
+        for (auto first = std::lower_bound(at.begin(), at.end(), cold); first != at.end();
+             ++first) {
+            const auto end = std::lower_bound(first, at.end(), *first + seconds(1));
+            ASSERT_LE(end - first, static_cast<std::ptrdiff_t>(1.5 * coldLimit + 5)) << replica;
+        }
+    }
+    run(seconds(3), 120);
+    const std::size_t warm = clients.size();
+    run(seconds(5), 120);
+    loop.advance(seconds(1));
+    EXPECT_GE(completeShare(warm), 0.95);
+}
+
 // Instances without a share of a limit get no answers that tell them of its end.
 TEST_F(gateway_fleet_test, usesAServerAgainAfterItsLimitHasEnded)
 {
@@ -271,6 +307,25 @@
     EXPECT_GT(plainServer(0).arrived.size(), before);
 }
 
+// A server that became cold again got requests at the usual rate.
+TEST_F(server_notice_test, limitsAServerThatBecomesColdAgain)
+{
+    warmUp();
+    route_configuration limited = configuration(2);
+    limited.services[service_name("plain")].coldLimit = request_rate(5);
+    gate.setRoutes(std::make_shared<route_table>(limited));
+    plainServer(0).notices = {{"Cold-Ms", "2000"}};
+    EXPECT_EQ(answered("/one/", 1), 1);
+    plainServer(0).notices.clear();
+    const std::size_t before = plainServer(0).arrived.size();
+    EXPECT_EQ(answered("/one/", 50), 50);
+    EXPECT_LE(plainServer(0).arrived.size() - before, 1.5 * 5 * 2 + 5);
+    loop.advance(seconds(2));
+    const std::size_t warm = plainServer(0).arrived.size();
+    EXPECT_EQ(answered("/one/", 50), 50);
+    EXPECT_GE(plainServer(0).arrived.size() - warm, 25U);
+}
+
 // A server that asked for a pause got the next requests at once, as any server that rejects one.
 TEST_F(server_notice_test, leavesAServerAloneForTheTimeThatItAsksFor)
 {
