--- a/lib/gateway/gateway_state.cpp
+++ b/lib/gateway/gateway_state.cpp
@@ -58,6 +58,7 @@
     , missingByBudget(set.at("gateway.parts_missing.budget_denied"))
     , missingAwaited(set.at("gateway.parts_missing.awaited"))
     , shardsWithoutSecondServer(set.at("gateway.shards_without_second_server"))
+    , evacuatedDataCentres(set.at("gateway.evacuated_data_centres"))
     , openedForAttempts(set.at("gateway.connections_opened.attempts"))
     , openedInAdvance(set.at("gateway.connections_opened.in_advance"))
     , openedForHealthChecks(set.at("gateway.connections_opened.health_checks"))
@@ -238,6 +239,7 @@
 void gateway_state::setEvacuated(const std::set<data_centre_id> &dataCentres)
 {
     evacuated = dataCentres;
+    count.evacuatedDataCentres.set(evacuated.size());
     // Attempts that wait for an evacuated server may be given to others meanwhile.
     const auto all = servers;
     for (const auto &[id, server] : all)
--- a/lib/gateway/gateway_state.h
+++ b/lib/gateway/gateway_state.h
@@ -66,6 +66,7 @@
     counter &missingByBudget;
     counter &missingAwaited;
     counter &shardsWithoutSecondServer;
+    counter &evacuatedDataCentres;
     counter &openedForAttempts;
     counter &openedInAdvance;
     counter &openedForHealthChecks;
