Send a second attempt earlier if it needs a connection to another region

Cause: an instance of a large fleet has standing connections to servers of its own region only.

Change: if the alternative still answers within the target when it is used at the earliest moment, it is used then.

The new test fails without the change. 215 of 218 gateway tests pass with the three known ones.

--- a/include/peridotwheel/gateway/answer_policy.h
+++ b/include/peridotwheel/gateway/answer_policy.h
@@ -34,8 +34,10 @@
 /// been answered by then.
 ///
 /// It is late enough that most first attempts have been answered, since every extra attempt adds
-/// load, and early enough that the second attempt can be answered within the target. If the target
-/// can no longer be met, the usual wait applies: callers prefer a late answer to none.
+/// load, and early enough that the second attempt can be answered within the target. An alternative
+/// that needs most of the target, such as one in another region to which a connection has to be
+/// opened first, is used as early as possible. If the target can no longer be met, the usual wait
+/// applies: callers prefer a late answer to none.
 time_point secondAttemptTime(const second_attempt_input &input, const request_times &times);
 
 /// State of the parts of a query, as input of `decideAnswer`.
--- a/lib/gateway/answer_policy.cpp
+++ b/lib/gateway/answer_policy.cpp
@@ -27,8 +27,10 @@
     const time_point latestUseful = times.targetEnd - input.alternativeRoundTrip -
                                     scaled(input.work, alternativeWorkFactor) - schedulingSlack;
     const time_point earliest = input.sentAt + input.roundTrip + minWait;
-    if (latestUseful <= earliest)
-        return delayed;
+    if (latestUseful <= earliest) {
+        const bool isInTime = earliest + input.alternativeRoundTrip + input.work <= times.targetEnd;
+        return isInTime ? std::min(delayed, earliest) : delayed;
+    }
     return std::min(delayed, latestUseful);
 }
 
--- a/unittests/gateway/decisions_test.cpp
+++ b/unittests/gateway/decisions_test.cpp
@@ -192,6 +192,24 @@
     EXPECT_LE(secondAttemptTime(input, usualTimes()), start + milliseconds(35));
 }
 
+// A second attempt that needs a connection to another region was sent after the usual wait, so that
+// its answer missed a short target, and the part was left out.
+TEST(second_attempt, comesAtOnceIfTheAlternativeNeedsMostOfTheTarget)
+{
+    request_times times = usualTimes();
+    times.targetEnd = start + milliseconds(86);
+    second_attempt_input input;
+    input.sentAt = start;
+    input.work = milliseconds(10);
+    input.roundTrip = milliseconds(3);
+    input.alternativeRoundTrip = milliseconds(52);
+    const time_point at = secondAttemptTime(input, times);
+    EXPECT_LE(at + milliseconds(52 + 10), times.targetEnd);
+    // With an alternative that comes too late in any case, waiting saves an extra attempt.
+    input.alternativeRoundTrip = milliseconds(80);
+    EXPECT_GT(secondAttemptTime(input, times), start + milliseconds(30));
+}
+
 TEST(answer_decision, waitsForMissingPartsUntilTheTarget)
 {
     const parts_state parts{10, 9, 1, 0, 0.89};
