Hold teams to their allotments over all instances

Cause: a team could send any number of requests, since no instance knew what it sent through the others.

Change: the instance with the highest rendezvous weight owns the bucket of a team and lends tokens to the instances that use it, by POST /peer/allotments. Nothing is sent or kept where no team has an allotment.

--- a/include/peridotwheel/gateway/gateway.h
+++ b/include/peridotwheel/gateway/gateway.h
@@ -1,6 +1,7 @@
 #ifndef PERIDOTWHEEL_GATEWAY_GATEWAY_H
 #define PERIDOTWHEEL_GATEWAY_GATEWAY_H
 
+#include "peridotwheel/gateway/allotment_hooks.h"
 #include "peridotwheel/gateway/backend_record.h"
 #include "peridotwheel/gateway/extra_attempt_budget.h"
 #include "peridotwheel/gateway/route.h"
@@ -64,6 +65,8 @@
     void setEvacuated(const std::set<data_centre_id> &dataCentres);
     /// \p hook is called when a reply shows that the view of the servers is out of date.
     void setOutdatedViewHook(std::function<void()> hook);
+    /// Sets the functions that enforce the allotments of teams.
+    void setAllotments(allotment_hooks hooks);
     /// Returns what was measured of the servers since the last call.
     server_reports takeReports();
     /// Sets the hints that the instances of the data centre derived from their combined
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "peridotwheel/gateway/gateway.h"
 
+#include "allotment_client.h"
 #include "gateway_state.h"
 #include "running_request.h"
 
@@ -15,6 +16,18 @@
 /// within their time limits, which are seconds.
 constexpr duration instanceFullRetryAfter = seconds(1);
 
+/// At most this fraction (1 / `allotmentWaitDivisor`) of the time budget is spent on the wait for a
+/// token.
+constexpr int allotmentWaitDivisor = 10;
+
+/// A request whose allotment is being asked for.
+struct pending_allotment
+{
+    std::optional<allotment_decision> decision;
+    /// Set if the request waits for the decision.
+    std::shared_ptr<running_request> request;
+};
+
 refusal authenticationFailure(key_presence presence)
 {
     switch (presence) {
@@ -80,6 +93,11 @@
     m_state->onOutdatedView = std::move(hook);
 }
 
+void gateway::setAllotments(allotment_hooks hooks)
+{
+    m_state->allotments = std::move(hooks);
+}
+
 server_reports gateway::takeReports()
 {
     server_reports reports;
@@ -115,11 +133,13 @@
     const auto terms = s.dialect.readTerms(request);
     const std::string *named = request.header("Host");
     const std::string host = named != nullptr ? *named : "";
+    caller_identity identity;
     const auto refuse = [&](const refusal &r, const char *reason) {
         s.log.decision("request_refused")
                 .add("request", terms ? terms.value().id.value() : "")
                 .add("reason", reason)
-                .add("host", host);
+                .add("host", host)
+                .add("team", identity.team ? identity.team->name.value() : "");
         s.count.refused.add();
         client->reply(s.dialect.writeRefusal(r));
     };
@@ -137,7 +157,6 @@
         return;
     }
     const caller_key key = s.dialect.readKey(request);
-    caller_identity identity;
     identity.isAuthenticationOn = s.teams.has_value();
     if (s.teams && key.presence == key_presence::Present)
         identity.team = s.teams->find(key.key);
@@ -156,10 +175,35 @@
                "instance_full");
         return;
     }
+    std::shared_ptr<pending_allotment> pending;
+    if (identity.team && identity.team->allotment && s.allotments.take) {
+        pending = std::make_shared<pending_allotment>();
+        const duration budget = std::min(terms.value().timeBudget.value_or(r->timeout), r->timeout);
+        const duration wait = std::min(maxAllotmentWait, budget / allotmentWaitDivisor);
+        s.allotments.take(*identity.team, s.loop.now() + wait,
+                          [pending](const allotment_decision &decision) {
+                              pending->decision = decision;
+                              if (pending->request)
+                                  pending->request->onAllotment(decision);
+                          });
+        // Most refusals are decided at once. A team far over its allotment costs the least if its
+        // requests are refused before they are prepared.
+        const auto &decision = pending->decision;
+        if (decision && decision->verdict == allotment_verdict::OverLimit)
+            s.count.overAllotment.add();
+        if (decision && decision->verdict != allotment_verdict::Granted)
+            return refuse(allotmentRefusal(*decision), allotmentRefusalReason(*decision));
+    }
     auto running = std::make_shared<running_request>(s, r, s.routes->version(), request,
                                                      terms.value(), identity, std::move(client));
     s.running.insert(running);
-    running->start();
+    running->watchClient();
+    if (!pending)
+        running->start();
+    else if (pending->decision)
+        running->onAllotment(*pending->decision);
+    else
+        pending->request = running;
 }
 
 void gateway::finishBy(time_point end)
--- a/lib/gateway/gateway_instance.cpp
+++ b/lib/gateway/gateway_instance.cpp
@@ -1,5 +1,6 @@
 #include "peridotwheel/gateway/gateway_instance.h"
 
+#include "allotment_exchange.h"
 #include "evacuation_view.h"
 #include "instance_directory.h"
 #include "metrics_text.h"
@@ -82,6 +83,7 @@
     cluster_view m_view;
     /// Null if the settings have no evacuations.
     std::unique_ptr<evacuation_view> m_evacuations;
+    allotment_exchange m_allotments;
     view_exchange m_exchange;
     stream_server m_callers;
     stream_server m_readiness;
@@ -113,13 +115,20 @@
     , m_directory(loop, environment.store, log, selfFrom(m_settings), seed,
                   [this](const member_map &members) {
                       m_gateway.setInstances(members);
+                      m_allotments.updateMembers();
                       m_exchange.setMembers(members);
                   })
     , m_view(loop, environment.store, m_counters, log, seed, m_settings.applyWithin,
              std::move(environment.documents),
-             {[this](route_table_ptr routes) { m_gateway.setRoutes(std::move(routes)); },
+             {[this](route_table_ptr routes) {
+                  m_allotments.setRoutes(*routes);
+                  m_gateway.setRoutes(std::move(routes));
+              },
               [this](const backend_map &servers) { m_gateway.setServers(servers); }})
     , m_evacuations(makeEvacuationView(environment.store, seed))
+    , m_allotments(loop, environment.http, m_counters, log,
+                   {m_settings.id, start_id(seed), m_settings.allotments,
+                    [this]() -> const member_map & { return m_directory.members(); }})
     , m_exchange(loop, m_view, m_directory, environment.http, log,
                  {seed, m_settings.applyWithin, m_settings.link},
                  {[this] { return m_gateway.takeReports(); },
@@ -143,7 +152,11 @@
     , m_peers(
               loop, [] { return stream_limits(); },
               [this](const opaque_request &request, const std::shared_ptr<http_responder> &client) {
-                  m_exchange.handleRequest(request, *client);
+                  m_allotments.onPeerHeard();
+                  if (request.target == allotmentPath)
+                      m_allotments.handleRequest(request, *client);
+                  else
+                      m_exchange.handleRequest(request, *client);
               })
 {
 }
@@ -180,6 +193,12 @@
     BOOST_OUTCOME_TRYV(m_metrics.listen(m_settings.metrics));
     BOOST_OUTCOME_TRYV(m_peers.listen(m_settings.peers));
     m_log.state("started").add("data_centre", m_settings.dataCentre.value());
+    m_gateway.setAllotments(
+            {[this](const team_spec &team, time_point deadline, allotment_callback done) {
+                 m_allotments.take(team, deadline, std::move(done));
+             },
+             [this](const allotment_token &token) { m_allotments.giveBack(token); }});
+    m_exchange.setPeerHeardHook([this] { m_allotments.onPeerHeard(); });
     m_exchange.setSeeds(m_settings.seeds);
     m_directory.start(initialRead());
     m_exchange.start();
--- a/lib/gateway/gateway_state.h
+++ b/lib/gateway/gateway_state.h
@@ -56,6 +56,7 @@
     counter &late;
     counter &refused;
     counter &unauthenticated;
+    counter &overAllotment;
     counter &failed;
     counter &clientsGone;
     counter &attempts;
@@ -119,6 +120,8 @@
     member_map members;
     std::set<data_centre_id> evacuated;
     connection_share share;
+    /// Empty where allotments are not enforced.
+    allotment_hooks allotments;
     /// Called when a reply shows that the view of the servers is out of date.
     std::function<void()> onOutdatedView;
     std::map<service_name, service_group_ptr> groups;
--- a/lib/gateway/running_request.cpp
+++ b/lib/gateway/running_request.cpp
@@ -16,6 +16,22 @@
 
 } // namespace
 
+refusal allotmentRefusal(const allotment_decision &decision)
+{
+    if (decision.verdict == allotment_verdict::OverLimit) {
+        return {refusal_kind::OverAllotment, decision.retryAfter,
+                "the team has used up its allotment; not run, try again later\n"};
+    }
+    return {refusal_kind::NotRun, decision.retryAfter,
+            "the allotment of the team is not known at present; not run, try again\n"};
+}
+
+const char *allotmentRefusalReason(const allotment_decision &decision)
+{
+    return decision.verdict == allotment_verdict::OverLimit ? "over_allotment"
+                                                            : "allotment_unknown";
+}
+
 running_request::running_request(gateway_state &state, route_ptr r, configuration_version version,
                                  const opaque_request &request, const caller_terms &terms,
                                  const caller_identity &identity,
@@ -76,17 +92,56 @@
     }
 }
 
-void running_request::start()
+void running_request::watchClient()
 {
-    const auto self = shared_from_this();
     m_client->onClientDisconnected([weak = weak_from_this()] {
         if (const auto request = weak.lock())
             request->onClientGone();
     });
+}
+
+void running_request::start()
+{
+    const auto self = shared_from_this();
     if (isAdmitted())
         run();
 }
 
+void running_request::onAllotment(const allotment_decision &decision)
+{
+    const auto self = shared_from_this();
+    if (decision.verdict == allotment_verdict::Granted) {
+        m_token = decision.token;
+        if (m_isOver)
+            return returnUnusedToken();
+        return start();
+    }
+    if (m_isOver)
+        return;
+    if (decision.verdict == allotment_verdict::OverLimit)
+        m_state.count.overAllotment.add();
+    m_state.count.refused.add();
+    deliver(m_state.dialect.writeRefusal(allotmentRefusal(decision)),
+            allotmentRefusalReason(decision));
+}
+
+bool running_request::wasSent() const
+{
+    return std::any_of(m_parts.begin(), m_parts.end(), [](const part &p) {
+        const bool isLiveSent = std::any_of(p.live.begin(), p.live.end(),
+                                            [](const auto &l) { return l.attempt->isSent; });
+        return isLiveSent || p.isAnswered || p.wasWritten || p.possibleRuns > 0 ||
+               p.receivedAttempts > 0;
+    });
+}
+
+void running_request::returnUnusedToken()
+{
+    if (m_token && !wasSent() && m_state.allotments.giveBack)
+        m_state.allotments.giveBack(*m_token);
+    m_token.reset();
+}
+
 bool running_request::isAdmitted()
 {
     if (!m_admission)
@@ -112,7 +167,8 @@
 void running_request::reportProgress()
 {
     const time_point now = m_state.loop.now();
-    if (m_admission && m_admission->canSample(now - m_times.arrival))
+    // A request that waits for its allotment has no parts yet.
+    if (m_admission && !m_parts.empty() && m_admission->canSample(now - m_times.arrival))
         m_admission->onQueryRunning(progress(), now);
 }
 
@@ -147,7 +203,6 @@
 void running_request::run()
 {
     const auto self = shared_from_this();
-    m_isStarting = true;
     addParts();
     if (m_times.deadline <= m_state.loop.now()) {
         refuse(duration::zero(), "no time is left; not run\n");
@@ -221,6 +276,7 @@
     m_trace.add(now, "client_gone", "", "");
     m_trace.write(m_state.log, now, m_state.loop.processorTime(), *m_route, m_version,
                   "client_gone", false);
+    returnUnusedToken();
     // Short work may finish, which keeps the connection usable. Longer work can only be ended by
     // closing its connection.
     for (part &p : m_parts)
--- a/lib/gateway/running_request.h
+++ b/lib/gateway/running_request.h
@@ -17,6 +17,11 @@
 
 namespace peridotwheel {
 
+/// Returns the refusal of a request that \p decision does not grant.
+refusal allotmentRefusal(const allotment_decision &decision);
+/// Returns its reason as written to the log.
+const char *allotmentRefusalReason(const allotment_decision &decision);
+
 /// Runs one request from its arrival until it is answered exactly once. A plain request is a query
 /// with one part whose reply is passed on; a gather has a part for each shard and merges the
 /// replies.
@@ -27,8 +32,12 @@
                     const opaque_request &request, const caller_terms &terms,
                     const caller_identity &identity, std::shared_ptr<http_responder> client);
 
+    /// Ends the request if its client disconnects, also while it waits for its allotment.
+    void watchClient();
     /// Runs the request, or refuses it if it is not admitted.
     void start();
+    /// Starts the request if \p decision grants it a token, and refuses it otherwise.
+    void onAllotment(const allotment_decision &decision);
     /// Reports the progress of the query to admission control; to be called a few times a second.
     void reportProgress();
     /// Answers the request by \p end at the latest.
@@ -152,6 +161,9 @@
     void recordOutcome(int status, const char *outcome, time_point at);
     /// Detaches the part's attempts. Attempts that have been sent may run until \p end.
     static void releaseAttempts(part &p, time_point end);
+    /// Whether any attempt has been sent to a server.
+    bool wasSent() const;
+    void returnUnusedToken();
     void onClientGone();
 
     gateway_state &m_state;
@@ -179,7 +191,10 @@
     earliest_timer m_timer;
     /// Whether enough parts were answered before the end of the target.
     bool m_isWaitingForTargetEnd = false;
-    bool m_isStarting = false;
+    /// Until the first attempts have been made.
+    bool m_isStarting = true;
+    /// The token of the team's allotment; absent if the team has none, or if it was returned.
+    std::optional<allotment_token> m_token;
     bool m_isOver = false;
 };
 
--- a/lib/gateway/running_request_answer.cpp
+++ b/lib/gateway/running_request_answer.cpp
@@ -240,6 +240,7 @@
     const time_point now = m_state.loop.now();
     m_isOver = true;
     m_timer.cancel();
+    returnUnusedToken();
     for (part &p : m_parts) {
         for (const live_attempt &l : p.live)
             traceSent(*l.attempt);
--- a/lib/gateway/view_exchange.cpp
+++ b/lib/gateway/view_exchange.cpp
@@ -256,6 +256,8 @@
                 .addMs("waited_ms", waited);
         return;
     }
+    if (m_onPeerHeard)
+        m_onPeerHeard();
     const auto &documents = m_view.documents();
     auto read = decodeSnapshot(outcome.reply.body,
                                {documents.configurationKind, documents.serverKind, instanceKind});
--- a/lib/gateway/view_exchange.h
+++ b/lib/gateway/view_exchange.h
@@ -69,6 +69,8 @@
     /// Sets the addresses to request the view from while no other members are known.
     void setSeeds(std::vector<endpoint> seeds) { m_seeds = std::move(seeds); }
     void setMembers(const member_map &members);
+    /// Sets the hook that is called when another instance has replied.
+    void setPeerHeardHook(std::function<void()> hook) { m_onPeerHeard = std::move(hook); }
     /// Replies to another instance's request for the view or for a part of the configuration.
     void handleRequest(const opaque_request &request, http_responder &client);
 
@@ -135,6 +137,7 @@
     configuration_fetcher m_configurationFetcher;
     report_hooks m_reports;
     evacuation_hooks m_evacuations;
+    std::function<void()> m_onPeerHeard;
     report_aggregator m_reportPool;
     timer m_timer;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
--- a/lib/peer/gen/peer_types.cpp
+++ b/lib/peer/gen/peer_types.cpp
@@ -3923,4 +3923,644 @@
   out << ")";
 }
 
+
+AllotmentReport::~AllotmentReport() noexcept {
+}
+
+
+void AllotmentReport::__set_team(const std::string& val) {
+  this->team = val;
+}
+
+void AllotmentReport::__set_used(const int64_t val) {
+  this->used = val;
+}
+
+void AllotmentReport::__set_unused(const int32_t val) {
+  this->unused = val;
+}
+
+void AllotmentReport::__set_waiting(const int32_t val) {
+  this->waiting = val;
+}
+
+void AllotmentReport::__set_inAdvance(const int32_t val) {
+  this->inAdvance = val;
+}
+std::ostream& operator<<(std::ostream& out, const AllotmentReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AllotmentReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_team = false;
+  bool isset_used = false;
+  bool isset_unused = false;
+  bool isset_waiting = false;
+  bool isset_inAdvance = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->team);
+          isset_team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->used);
+          isset_used = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->unused);
+          isset_unused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waiting);
+          isset_waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->inAdvance);
+          isset_inAdvance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_team)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_used)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_unused)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_waiting)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_inAdvance)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t AllotmentReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AllotmentReport");
+
+  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->team);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("used", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->used);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unused", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->unused);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->waiting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("inAdvance", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->inAdvance);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AllotmentReport &a, AllotmentReport &b) {
+  using ::std::swap;
+  swap(a.team, b.team);
+  swap(a.used, b.used);
+  swap(a.unused, b.unused);
+  swap(a.waiting, b.waiting);
+  swap(a.inAdvance, b.inAdvance);
+}
+
+AllotmentReport::AllotmentReport(const AllotmentReport& other126) {
+  team = other126.team;
+  used = other126.used;
+  unused = other126.unused;
+  waiting = other126.waiting;
+  inAdvance = other126.inAdvance;
+}
+AllotmentReport& AllotmentReport::operator=(const AllotmentReport& other127) {
+  team = other127.team;
+  used = other127.used;
+  unused = other127.unused;
+  waiting = other127.waiting;
+  inAdvance = other127.inAdvance;
+  return *this;
+}
+void AllotmentReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AllotmentReport(";
+  out << "team=" << to_string(team);
+  out << ", " << "used=" << to_string(used);
+  out << ", " << "unused=" << to_string(unused);
+  out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "inAdvance=" << to_string(inAdvance);
+  out << ")";
+}
+
+
+AllotmentRequest::~AllotmentRequest() noexcept {
+}
+
+
+void AllotmentRequest::__set_sender(const std::string& val) {
+  this->sender = val;
+}
+
+void AllotmentRequest::__set_process(const int64_t val) {
+  this->process = val;
+}
+
+void AllotmentRequest::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void AllotmentRequest::__set_reports(const std::vector<AllotmentReport> & val) {
+  this->reports = val;
+}
+std::ostream& operator<<(std::ostream& out, const AllotmentRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AllotmentRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_sender = false;
+  bool isset_process = false;
+  bool isset_sequence = false;
+  bool isset_reports = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->sender);
+          isset_sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->process);
+          isset_process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          isset_sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->reports.clear();
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->reports.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
+            {
+              xfer += this->reports[_i132].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_reports = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_sender)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_process)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_sequence)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_reports)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t AllotmentRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AllotmentRequest");
+
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->sender);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
+    std::vector<AllotmentReport> ::const_iterator _iter133;
+    for (_iter133 = this->reports.begin(); _iter133 != this->reports.end(); ++_iter133)
+    {
+      xfer += (*_iter133).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AllotmentRequest &a, AllotmentRequest &b) {
+  using ::std::swap;
+  swap(a.sender, b.sender);
+  swap(a.process, b.process);
+  swap(a.sequence, b.sequence);
+  swap(a.reports, b.reports);
+}
+
+AllotmentRequest::AllotmentRequest(const AllotmentRequest& other134) {
+  sender = other134.sender;
+  process = other134.process;
+  sequence = other134.sequence;
+  reports = other134.reports;
+}
+AllotmentRequest& AllotmentRequest::operator=(const AllotmentRequest& other135) {
+  sender = other135.sender;
+  process = other135.process;
+  sequence = other135.sequence;
+  reports = other135.reports;
+  return *this;
+}
+void AllotmentRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AllotmentRequest(";
+  out << "sender=" << to_string(sender);
+  out << ", " << "process=" << to_string(process);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "reports=" << to_string(reports);
+  out << ")";
+}
+
+
+AllotmentGrant::~AllotmentGrant() noexcept {
+}
+
+
+void AllotmentGrant::__set_team(const std::string& val) {
+  this->team = val;
+}
+
+void AllotmentGrant::__set_tokens(const int32_t val) {
+  this->tokens = val;
+}
+
+void AllotmentGrant::__set_capacityInUs(const int64_t val) {
+  this->capacityInUs = val;
+__isset.capacityInUs = true;
+}
+
+void AllotmentGrant::__set_isOwner(const bool val) {
+  this->isOwner = val;
+}
+std::ostream& operator<<(std::ostream& out, const AllotmentGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AllotmentGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_team = false;
+  bool isset_tokens = false;
+  bool isset_isOwner = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->team);
+          isset_team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tokens);
+          isset_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->capacityInUs);
+          this->__isset.capacityInUs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isOwner);
+          isset_isOwner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_team)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_tokens)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_isOwner)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t AllotmentGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AllotmentGrant");
+
+  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->team);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.capacityInUs) {
+    xfer += oprot->writeFieldBegin("capacityInUs", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->capacityInUs);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("isOwner", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->isOwner);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AllotmentGrant &a, AllotmentGrant &b) {
+  using ::std::swap;
+  swap(a.team, b.team);
+  swap(a.tokens, b.tokens);
+  swap(a.capacityInUs, b.capacityInUs);
+  swap(a.isOwner, b.isOwner);
+  swap(a.__isset, b.__isset);
+}
+
+AllotmentGrant::AllotmentGrant(const AllotmentGrant& other136) {
+  team = other136.team;
+  tokens = other136.tokens;
+  capacityInUs = other136.capacityInUs;
+  isOwner = other136.isOwner;
+  __isset = other136.__isset;
+}
+AllotmentGrant& AllotmentGrant::operator=(const AllotmentGrant& other137) {
+  team = other137.team;
+  tokens = other137.tokens;
+  capacityInUs = other137.capacityInUs;
+  isOwner = other137.isOwner;
+  __isset = other137.__isset;
+  return *this;
+}
+void AllotmentGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AllotmentGrant(";
+  out << "team=" << to_string(team);
+  out << ", " << "tokens=" << to_string(tokens);
+  out << ", " << "capacityInUs="; (__isset.capacityInUs ? (out << to_string(capacityInUs)) : (out << "<null>"));
+  out << ", " << "isOwner=" << to_string(isOwner);
+  out << ")";
+}
+
+
+AllotmentReply::~AllotmentReply() noexcept {
+}
+
+
+void AllotmentReply::__set_grants(const std::vector<AllotmentGrant> & val) {
+  this->grants = val;
+}
+std::ostream& operator<<(std::ostream& out, const AllotmentReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AllotmentReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_grants = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->grants.clear();
+            uint32_t _size138;
+            ::apache::thrift::protocol::TType _etype141;
+            xfer += iprot->readListBegin(_etype141, _size138);
+            this->grants.resize(_size138);
+            uint32_t _i142;
+            for (_i142 = 0; _i142 < _size138; ++_i142)
+            {
+              xfer += this->grants[_i142].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_grants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_grants)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t AllotmentReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AllotmentReply");
+
+  xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
+    std::vector<AllotmentGrant> ::const_iterator _iter143;
+    for (_iter143 = this->grants.begin(); _iter143 != this->grants.end(); ++_iter143)
+    {
+      xfer += (*_iter143).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AllotmentReply &a, AllotmentReply &b) {
+  using ::std::swap;
+  swap(a.grants, b.grants);
+}
+
+AllotmentReply::AllotmentReply(const AllotmentReply& other144) {
+  grants = other144.grants;
+}
+AllotmentReply& AllotmentReply::operator=(const AllotmentReply& other145) {
+  grants = other145.grants;
+  return *this;
+}
+void AllotmentReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AllotmentReply(";
+  out << "grants=" << to_string(grants);
+  out << ")";
+}
+
 }} // namespace
--- a/lib/peer/gen/peer_types.h
+++ b/lib/peer/gen/peer_types.h
@@ -57,6 +57,14 @@
 
 class ConfigurationReply;
 
+class AllotmentReport;
+
+class AllotmentRequest;
+
+class AllotmentGrant;
+
+class AllotmentReply;
+
 
 class MemberUpdate : public virtual ::apache::thrift::TBase {
  public:
@@ -1313,6 +1321,220 @@
 
 std::ostream& operator<<(std::ostream& out, const ConfigurationReply& obj);
 
+
+class AllotmentReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  AllotmentReport(const AllotmentReport&);
+  AllotmentReport& operator=(const AllotmentReport&);
+  AllotmentReport() noexcept
+                  : team(),
+                    used(0),
+                    unused(0),
+                    waiting(0),
+                    inAdvance(0) {
+  }
+
+  virtual ~AllotmentReport() noexcept;
+  std::string team;
+  int64_t used;
+  int32_t unused;
+  int32_t waiting;
+  int32_t inAdvance;
+
+  void __set_team(const std::string& val);
+
+  void __set_used(const int64_t val);
+
+  void __set_unused(const int32_t val);
+
+  void __set_waiting(const int32_t val);
+
+  void __set_inAdvance(const int32_t val);
+
+  bool operator == (const AllotmentReport & rhs) const
+  {
+    if (!(team == rhs.team))
+      return false;
+    if (!(used == rhs.used))
+      return false;
+    if (!(unused == rhs.unused))
+      return false;
+    if (!(waiting == rhs.waiting))
+      return false;
+    if (!(inAdvance == rhs.inAdvance))
+      return false;
+    return true;
+  }
+  bool operator != (const AllotmentReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AllotmentReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AllotmentReport &a, AllotmentReport &b);
+
+std::ostream& operator<<(std::ostream& out, const AllotmentReport& obj);
+
+
+class AllotmentRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  AllotmentRequest(const AllotmentRequest&);
+  AllotmentRequest& operator=(const AllotmentRequest&);
+  AllotmentRequest() noexcept
+                   : sender(),
+                     process(0),
+                     sequence(0) {
+  }
+
+  virtual ~AllotmentRequest() noexcept;
+  std::string sender;
+  int64_t process;
+  int64_t sequence;
+  std::vector<AllotmentReport>  reports;
+
+  void __set_sender(const std::string& val);
+
+  void __set_process(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_reports(const std::vector<AllotmentReport> & val);
+
+  bool operator == (const AllotmentRequest & rhs) const
+  {
+    if (!(sender == rhs.sender))
+      return false;
+    if (!(process == rhs.process))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(reports == rhs.reports))
+      return false;
+    return true;
+  }
+  bool operator != (const AllotmentRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AllotmentRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AllotmentRequest &a, AllotmentRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const AllotmentRequest& obj);
+
+typedef struct _AllotmentGrant__isset {
+  _AllotmentGrant__isset() : capacityInUs(false) {}
+  bool capacityInUs :1;
+} _AllotmentGrant__isset;
+
+class AllotmentGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  AllotmentGrant(const AllotmentGrant&);
+  AllotmentGrant& operator=(const AllotmentGrant&);
+  AllotmentGrant() noexcept
+                 : team(),
+                   tokens(0),
+                   capacityInUs(0),
+                   isOwner(0) {
+  }
+
+  virtual ~AllotmentGrant() noexcept;
+  std::string team;
+  int32_t tokens;
+  int64_t capacityInUs;
+  bool isOwner;
+
+  _AllotmentGrant__isset __isset;
+
+  void __set_team(const std::string& val);
+
+  void __set_tokens(const int32_t val);
+
+  void __set_capacityInUs(const int64_t val);
+
+  void __set_isOwner(const bool val);
+
+  bool operator == (const AllotmentGrant & rhs) const
+  {
+    if (!(team == rhs.team))
+      return false;
+    if (!(tokens == rhs.tokens))
+      return false;
+    if (__isset.capacityInUs != rhs.__isset.capacityInUs)
+      return false;
+    else if (__isset.capacityInUs && !(capacityInUs == rhs.capacityInUs))
+      return false;
+    if (!(isOwner == rhs.isOwner))
+      return false;
+    return true;
+  }
+  bool operator != (const AllotmentGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AllotmentGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AllotmentGrant &a, AllotmentGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const AllotmentGrant& obj);
+
+
+class AllotmentReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  AllotmentReply(const AllotmentReply&);
+  AllotmentReply& operator=(const AllotmentReply&);
+  AllotmentReply() noexcept {
+  }
+
+  virtual ~AllotmentReply() noexcept;
+  std::vector<AllotmentGrant>  grants;
+
+  void __set_grants(const std::vector<AllotmentGrant> & val);
+
+  bool operator == (const AllotmentReply & rhs) const
+  {
+    if (!(grants == rhs.grants))
+      return false;
+    return true;
+  }
+  bool operator != (const AllotmentReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AllotmentReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AllotmentReply &a, AllotmentReply &b);
+
+std::ostream& operator<<(std::ostream& out, const AllotmentReply& obj);
+
 }} // namespace
 
 #endif
--- a/proto/peer.thrift
+++ b/proto/peer.thrift
@@ -200,3 +200,40 @@
   // Addresses, as IP:PORT, of other instances that have this version.
   9: required list<string> holders
 }
+
+// What the sender has of the tokens of one team.
+struct AllotmentReport {
+  1: required string team
+  // Tokens that the sender has used since its start, from any owner.
+  2: required i64 used
+  // Valid tokens that it has not used.
+  3: required i32 unused
+  // Further tokens for requests that wait.
+  4: required i32 waiting
+  // Further tokens in advance.
+  5: required i32 inAdvance
+}
+
+// The body of `POST /peer/allotments`, sent to the owner of the teams. An owner ignores a message
+// whose sequence is not above that of the last one of the same process.
+struct AllotmentRequest {
+  1: required string sender
+  // Random number of the sender's process.
+  2: required i64 process
+  3: required i64 sequence
+  4: required list<AllotmentReport> reports
+}
+
+struct AllotmentGrant {
+  1: required string team
+  2: required i32 tokens
+  // Set if the allotment is used up: microseconds until it has capacity.
+  3: optional i64 capacityInUs
+  // Whether the replying instance is the owner of the team by its own directory.
+  4: required bool isOwner
+}
+
+// The reply to an AllotmentRequest, with a grant for each of its reports.
+struct AllotmentReply {
+  1: required list<AllotmentGrant> grants
+}
