--- a/lib/gateway/allotment_bucket.cpp
+++ b/lib/gateway/allotment_bucket.cpp
@@ -93,7 +93,11 @@
         return grant;
     }
     h.sequence = sender.sequence;
-    m_level -= static_cast<double>(report.used - h.used - h.presumedUsed);
+    // Expired tokens are not put back even if they were not used: the level may have been refilled
+    // meanwhile, and a window would allow for both.
+    const std::int64_t used = report.used - h.used;
+    m_level -= static_cast<double>(
+            h.presumedUsed > 0 ? std::max<std::int64_t>(used - h.presumedUsed, 0) : used);
     m_level = std::min(m_level, m_bounds.capacity);
     h.used = report.used;
     h.presumedUsed = 0;
--- a/lib/gateway/allotment_codec.cpp
+++ b/lib/gateway/allotment_codec.cpp
@@ -11,6 +11,8 @@
 
 /// Limit on numbers of tokens that another instance states, so that sums cannot overflow.
 constexpr std::int32_t maxTokens = 1000000;
+/// Limit on the time until capacity that another instance states, so that times cannot overflow.
+constexpr duration maxDelay = std::chrono::hours(24);
 
 bool isTokenCount(std::int32_t value)
 {
@@ -63,7 +65,7 @@
         g.tokens = grant.tokens;
         g.isOwner = grant.isOwner;
         if (grant.capacityIn)
-            g.__set_capacityInUs(grant.capacityIn->count());
+            g.__set_capacityInUs(std::min(*grant.capacityIn, maxDelay).count());
         out.grants.push_back(std::move(g));
     }
     return encodeThrift(out);
@@ -74,7 +76,8 @@
     BOOST_OUTCOME_TRY(in, decodeThrift<wire::AllotmentReply>(text));
     allotment_reply reply;
     for (const auto &g : in.grants) {
-        const bool isDelayValid = !g.__isset.capacityInUs || g.capacityInUs >= 0;
+        const bool isDelayValid = !g.__isset.capacityInUs ||
+                                  (g.capacityInUs >= 0 && g.capacityInUs <= maxDelay.count());
         if (!isTokenCount(g.tokens) || !isDelayValid) {
             return failure(error_kind::InvalidArgument, "a grant from another instance is invalid");
         }
--- a/unittests/gateway/allotment_test.cpp
+++ b/unittests/gateway/allotment_test.cpp
@@ -81,6 +81,8 @@
     now += seconds(100);
     EXPECT_EQ(ask("b", 2, 0, 0, 1000).tokens, all);
     EXPECT_DOUBLE_EQ(bucket.tokensOut(), all);
+    // The first instance is back and has used none.
+    EXPECT_EQ(ask("a", 2, 0, 0, 1000).tokens, 0);
 }
 
 // Guards against messages that other instances cannot read, and against numbers that overflow.
@@ -168,7 +170,7 @@
     http_outcome outcome;
     outcome.reply = {404, {}, ""};
     sent[0](outcome);
-    // The reserve of 12 in five seconds is shared by five instances.
+    // The reserve of 13 in five seconds is shared by five instances.
     for (int i = 0; i < 9; ++i)
         take();
     EXPECT_EQ(sent.size(), 1U);
@@ -196,6 +198,33 @@
     EXPECT_EQ(decisions.size(), 2U);
 }
 
+// Guards against an owner that was replaced unnoticed and grants the whole limit a second time.
+TEST_F(allotment_exchange_test, usesTheReserveWhileIsolated)
+{
+    const auto granted = [this] {
+        decisions.clear();
+        for (int i = 0; i < 20; ++i)
+            take();
+        return std::count_if(decisions.begin(), decisions.end(),
+                             [](const auto &d) { return d.verdict == allotment_verdict::Granted; });
+    };
+    setAllotment(1, tenPerSecond);
+    // The owner follows from the names; this looks for one that makes this instance the owner.
+    for (int i = 0; i == 0 || counters.at("allotments.owned_teams").value() == 0; ++i) {
+        const std::string name = "other-" + std::to_string(i);
+        members = {{instance_id("a"), memberAt("a", 0)}, {instance_id(name), memberAt(name, 1)}};
+        exchange.updateMembers();
+    }
+    exchange.onPeerHeard();
+    loop.advance(milliseconds(1900));
+    EXPECT_GE(granted(), 15);
+    loop.advance(seconds(6));
+    EXPECT_FALSE(sent.empty()) << "no sign of life was asked for";
+    EXPECT_EQ(granted(), 7) << "the larger part of the reserve of 13";
+    exchange.onPeerHeard();
+    EXPECT_GE(granted(), 15);
+}
+
 /// A gateway whose allotments the test decides.
 class allotment_gateway_test : public gateway_fixture
 {
