Let no instance own teams before it knows the others

Cause: until an instance has received the list of instances its directory holds only itself, so that after a start of all each took itself for the owner of every team.

The simulated processes learn of the others 0.1 s after a restart, and 1.2 s after a start of all.

Not run over real sockets between several processes.

--- a/lib/gateway/allotment_exchange.h
+++ b/lib/gateway/allotment_exchange.h
@@ -29,7 +29,7 @@
     /// Random number of this process.
     start_id process;
     allotment_tolerance tolerance;
-    /// Returns the instances that this one knows, itself included.
+    /// Returns the instances that this one knows, itself included; none while they are unknown.
     std::function<const member_map &()> members;
 };
 
--- a/lib/gateway/gateway_instance.cpp
+++ b/lib/gateway/gateway_instance.cpp
@@ -66,6 +66,9 @@
     instance_directory::initial_read initialRead() const;
     std::unique_ptr<evacuation_view> makeEvacuationView(platform_client &store, std::uint64_t seed);
     evacuation_hooks evacuationHooks();
+    /// Returns all instances, or none until a list of them has been received. An instance that knew
+    /// only itself would take itself for the owner of all teams.
+    const member_map &knownMembers() const;
     void answerReadiness(http_responder &client);
     void answerMetrics(http_responder &client);
     bool isReady() const { return !m_stopping && m_gateway.isReady(); }
@@ -90,6 +93,7 @@
     stream_server m_metrics;
     stream_server m_peers;
     std::function<void()> m_onStopped;
+    const member_map m_noMembers;
     bool m_stopping = false;
     bool m_wasReady = false;
     time_point m_stopDeadline;
@@ -128,7 +132,7 @@
     , m_evacuations(makeEvacuationView(environment.store, seed))
     , m_allotments(loop, environment.http, m_counters, log,
                    {m_settings.id, start_id(seed), m_settings.allotments,
-                    [this]() -> const member_map & { return m_directory.members(); }})
+                    [this]() -> const member_map & { return knownMembers(); }})
     , m_exchange(loop, m_view, m_directory, environment.http, log,
                  {seed, m_settings.applyWithin, m_settings.link},
                  {[this] { return m_gateway.takeReports(); },
@@ -217,6 +221,11 @@
     return isSeed ? initial_read::Delayed : initial_read::IfNoPeerResponds;
 }
 
+const member_map &gateway_instance::impl::knownMembers() const
+{
+    return m_directory.hasBeenRead() ? m_directory.members() : m_noMembers;
+}
+
 void gateway_instance::impl::answerReadiness(http_responder &client)
 {
     const bool ready = isReady();
--- a/unittests/gateway/allotment_fleet.cpp
+++ b/unittests/gateway/allotment_fleet.cpp
@@ -70,6 +70,7 @@
     counter_set counters;
     decision_log log;
     std::unique_ptr<allotment_exchange> exchange;
+    bool hasMembers = false;
 };
 
 allotment_fleet::allotment_fleet(std::size_t instances, std::uint64_t seed)
@@ -205,15 +206,22 @@
     }
 }
 
-void allotment_fleet::restart(std::size_t index)
+void allotment_fleet::restart(std::size_t index, duration unknownFor)
 {
     node &n = *m_nodes[index];
+    n.hasMembers = false;
     n.exchange = std::make_unique<allotment_exchange>(
             m_loop, n.client, n.counters, n.log,
             allotment_exchange_options{idOf(index), start_id(++m_processes), m_tolerance,
-                                       [this]() -> const member_map & { return m_members; }});
+                                       [this, &n]() -> const member_map & {
+                                           return n.hasMembers ? m_members : m_noMembers;
+                                       }});
     n.exchange->setRoutes(makeRoutes());
-    n.exchange->updateMembers();
+    later(unknownFor, [&n] {
+        n.hasMembers = true;
+        if (n.exchange)
+            n.exchange->updateMembers();
+    });
     for (caller &c : m_callers) {
         if (c.home == index)
             c.at = index;
--- a/unittests/gateway/allotment_fleet.h
+++ b/unittests/gateway/allotment_fleet.h
@@ -75,7 +75,8 @@
     void setLimits(double factor);
     /// Ends a process. Its callers move to other instances until it is back.
     void kill(std::size_t index);
-    void restart(std::size_t index);
+    /// Starts a process, which learns of the instances after \p unknownFor.
+    void restart(std::size_t index, duration unknownFor = milliseconds(100));
     /// Lets all instances forget or know again the instance at \p index.
     void setListed(std::size_t index, bool listed);
     /// Cuts the instances with odd numbers off from those with even ones.
@@ -136,6 +137,7 @@
     std::uint64_t m_nextTimer = 0;
     std::uint64_t m_version = 0;
     member_map m_members;
+    const member_map m_noMembers;
     std::vector<std::unique_ptr<node>> m_nodes;
     std::vector<team> m_teams;
     std::vector<caller> m_callers;
--- a/unittests/gateway/allotment_fleet_test.cpp
+++ b/unittests/gateway/allotment_fleet_test.cpp
@@ -144,7 +144,7 @@
     for (std::size_t i = 0; i < fleet.size(); ++i)
         fleet.kill(i);
     for (std::size_t i = 0; i < fleet.size(); ++i)
-        fleet.restart(i);
+        fleet.restart(i, milliseconds(1200));
     fleet.run(seconds(120));
     check("all restart");
 }
@@ -171,7 +171,7 @@
     for (std::size_t i = 0; i < fleet.size(); ++i)
         fleet.kill(i);
     for (std::size_t i = 0; i < fleet.size(); ++i)
-        fleet.restart(i);
+        fleet.restart(i, milliseconds(1200));
     fleet.run(seconds(15));
     check("flood in faults", 0);
 }
