Keep tokens for waiting requests, and contact owners in advance

Callers that move leave tokens at other instances until all that may be out is out, and the owner then refused the requests that waited.

Change: a fifth of what may be out is granted for waiting requests only; a refusal needs a waiting request without a token. Requests wait up to 250 ms and a third of their budget. Connections to all owners are opened in advance, and instances with frequent requests ask before the next one comes. Stories of requests name the team.

--- a/lib/gateway/allotment_bucket.cpp
+++ b/lib/gateway/allotment_bucket.cpp
@@ -11,12 +11,27 @@
 constexpr double lendableShare = 0.375;
 constexpr double startShare = 0.125;
 constexpr double reserveShare = 0.5;
+/// Share of the tokens that may be out which is not granted in advance. Callers that move to other
+/// instances leave tokens behind, and without this share a team was refused within its allotment
+/// while its tokens were out.
+constexpr double keptForWaitingShare = 0.2;
 /// Least time for which instances reject the requests of a team that has used up its allotment.
 /// With ten instances, its owner gets at most some 60 messages a second.
 constexpr duration minRejection = milliseconds(150);
 /// A holder is forgotten this long after its last message.
 constexpr duration holderRetention = seconds(60);
 
+/// Of the tokens for a second of demand, this share (1 / `usedSoonDivisor`) is used so soon that it
+/// is granted like tokens for waiting requests. A team over its allotment is then served and
+/// refused without a wait; slow instances get none of these tokens and leave none behind.
+constexpr std::int32_t usedSoonDivisor = 3;
+
+/// Returns how many of \p wanted tokens fit into \p headroom.
+std::int32_t grantable(std::int32_t wanted, double headroom)
+{
+    return static_cast<std::int32_t>(std::min<double>(wanted, std::max(std::floor(headroom), 0.0)));
+}
+
 } // namespace
 
 allotment_bounds::allotment_bounds(const rate_allotment &allotment,
@@ -104,15 +119,16 @@
     m_out += report.unused - h.out;
     h.out = report.unused;
 
-    // Tokens in advance are as good as ones for waiting requests: keeping a quarter of the lendable
-    // ones for the latter made 1.8 times as many requests of a usual fleet wait.
-    const double wanted = static_cast<double>(report.waiting) + report.inAdvance;
-    grant.tokens =
-            static_cast<std::int32_t>(std::min(wanted, std::max(std::floor(headroom()), 0.0)));
+    const std::int32_t forWaiting = grantable(report.waiting, headroom());
+    const double kept = keptForWaitingShare * (m_bounds.capacity + m_bounds.lendable);
+    const double left = headroom() - forWaiting;
+    const std::int32_t usedSoon = report.inAdvance / usedSoonDivisor;
+    grant.tokens = forWaiting +
+                   std::max(grantable(report.inAdvance, left - kept), grantable(usedSoon, left));
     h.out += grant.tokens;
     m_out += grant.tokens;
     h.expiry = now + tokenValidity;
-    if (grant.tokens < wanted && headroom() < 1)
+    if (forWaiting < report.waiting)
         grant.capacityIn = timeUntilCapacity();
     return grant;
 }
--- a/lib/gateway/allotment_client.cpp
+++ b/lib/gateway/allotment_client.cpp
@@ -24,6 +24,8 @@
 /// Used tokens are reported within this time.
 constexpr duration reportDelay = milliseconds(500);
 constexpr duration sweepInterval = milliseconds(500);
+/// From this rate on, an instance asks for tokens again as soon as its owner has capacity.
+constexpr double frequentPerSecond = 2;
 /// An owner that does not answer in time is asked again after this time.
 constexpr duration absentTime = seconds(1);
 /// Directories of two instances differ for about as long as a list of instances travels.
@@ -318,8 +320,12 @@
     }
     s.tokens += grant.tokens;
     s.tokenExpiry = sentAt + tokenValidity;
-    if (grant.capacityIn)
+    if (grant.capacityIn) {
         s.blockedUntil = now + *grant.capacityIn;
+        // Asked before the next request comes, the owner's tokens cost no wait.
+        if (requestsPerSecond(s, now) >= frequentPerSecond)
+            sendBy(owner, s.blockedUntil);
+    }
     while (!s.waiting.empty() && s.tokens > 0) {
         decided.push_back({std::move(s.waiting.front().done), takeToken(grant.team, s)});
         s.waiting.pop_front();
--- a/lib/gateway/allotment_client.h
+++ b/lib/gateway/allotment_client.h
@@ -13,7 +13,7 @@
 namespace peridotwheel {
 
 /// Longest time for which a request waits for its owner's reply.
-constexpr duration maxAllotmentWait = milliseconds(60);
+constexpr duration maxAllotmentWait = milliseconds(250);
 
 /// A message to send to the owner of some teams.
 struct outgoing_allotment_request
--- a/lib/gateway/allotment_exchange.cpp
+++ b/lib/gateway/allotment_exchange.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 
 namespace peridotwheel {
 
@@ -19,6 +20,8 @@
 /// isolated.
 constexpr duration probeAfterSilence = seconds(1);
 constexpr duration probeInterval = milliseconds(500);
+/// Interval of the first round of empty messages, which opens the connections to all owners.
+constexpr duration firstRoundInterval = milliseconds(50);
 constexpr int ok = 200;
 
 /// Returns the instance with the highest rendezvous weight for \p team.
@@ -124,10 +127,18 @@
             owned.emplace(team, bounds);
         terms.emplace(team, allotment_client::team_terms{bounds, owner});
     }
+    std::set<instance_id> owners;
+    for (const auto &[team, t] : terms) {
+        if (t.owner && *t.owner != m_options.self)
+            owners.insert(*t.owner);
+    }
+    m_owners.clear();
+    for (const auto &owner : owners)
+        m_owners.push_back(m_addresses.at(owner));
     m_count.ownedTeams.set(owned.size());
     m_owner.setTeams(owned, now);
     m_client.setTeams(terms, std::move(instances), now);
-    if (m_owner.isEmpty())
+    if (!isEnabled())
         m_probeTimer.cancel();
     else if (!m_probeTimer)
         probe();
@@ -238,7 +249,12 @@
 
 void allotment_exchange::probe()
 {
-    m_probeTimer = m_loop.schedule(probeInterval, [this] { probe(); });
+    // A request that has to wait for a connection to another region misses its target.
+    const bool isFirstRound = m_nextOwner < m_owners.size();
+    m_probeTimer =
+            m_loop.schedule(isFirstRound ? firstRoundInterval : probeInterval, [this] { probe(); });
+    if (!m_owners.empty())
+        sendEmpty(m_owners[m_nextOwner++ % m_owners.size()]);
     if (m_client.silence(m_loop.now()) < probeAfterSilence || m_addresses.size() < 2)
         return;
     auto target = std::next(m_addresses.begin(),
@@ -247,13 +263,18 @@
         if (++target == m_addresses.end())
             target = m_addresses.begin();
     }
+    sendEmpty(target->second);
+}
+
+void allotment_exchange::sendEmpty(const endpoint &to)
+{
     http_request message;
     message.method = http_method::Post;
     message.path = allotmentPath;
     message.lane = allotmentPath;
     message.body = encodeAllotmentRequest({{m_options.self, m_options.process, 0}, {}});
     m_count.messagesSent.add();
-    m_http.send(target->second, message, replyTimeout,
+    m_http.send(to, message, replyTimeout,
                 [this, alive = std::weak_ptr<int>(m_alive)](const http_outcome &outcome) {
                     if (!alive.expired() && outcome.ok())
                         m_client.onPeerHeard(m_loop.now());
--- a/lib/gateway/allotment_exchange.h
+++ b/lib/gateway/allotment_exchange.h
@@ -82,8 +82,10 @@
     void sendDueMessages();
     void send(const instance_id &to, const allotment_request &request);
     void onOutcome(const instance_id &from, const http_outcome &outcome);
-    /// Asks another instance for a sign of life if none has arrived for a while.
+    /// Sends an empty message to the next owner, and to any instance if none was heard of for a
+    /// while.
     void probe();
+    void sendEmpty(const endpoint &to);
 
     event_loop &m_loop;
     http_client &m_http;
@@ -95,6 +97,9 @@
     std::map<instance_id, endpoint> m_addresses;
     allotment_owner m_owner;
     allotment_client m_client;
+    /// Instances that own teams, this one excluded.
+    std::vector<endpoint> m_owners;
+    std::size_t m_nextOwner = 0;
     std::size_t m_nextProbe = 0;
     earliest_timer m_timer;
     timer m_probeTimer;
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -18,7 +18,7 @@
 
 /// At most this fraction (1 / `allotmentWaitDivisor`) of the time budget is spent on the wait for a
 /// token.
-constexpr int allotmentWaitDivisor = 10;
+constexpr int allotmentWaitDivisor = 3;
 
 /// A request whose allotment is being asked for.
 struct pending_allotment
--- a/lib/gateway/request_trace.cpp
+++ b/lib/gateway/request_trace.cpp
@@ -38,10 +38,11 @@
             line.add("server", e.server);
         line.addMs("value", fromMilliseconds(e.value));
     }
-    log.traceLine("request_ended")
-            .add("request", m_id.value())
-            .add("route", r.name.value())
-            .add("configuration", static_cast<std::int64_t>(version.value()))
+    decision_log::line line = log.traceLine("request_ended");
+    line.add("request", m_id.value()).add("route", r.name.value());
+    if (!m_team.value().empty())
+        line.add("team", m_team.value());
+    line.add("configuration", static_cast<std::int64_t>(version.value()))
             .add("rank", static_cast<std::int64_t>(r.rank.value()))
             .add("outcome", outcome)
             .addMs("target_ms", r.target)
--- a/lib/gateway/request_trace.h
+++ b/lib/gateway/request_trace.h
@@ -40,6 +40,7 @@
              const std::string &server, double value = 0);
     /// Records that an attempt was given to a connection at \p now.
     void addSent(time_point now, bool waitedForConnection);
+    void setTeam(const team_name &team) { m_team = team; }
     /// Records why parts are missing from the answer.
     void setMissing(const missing_parts &missing) { m_missing = missing; }
     /// \p processorTime is that of the process at \p now.
@@ -63,6 +64,8 @@
     duration m_lastSent{};
     std::size_t m_waitedForConnection = 0;
     missing_parts m_missing;
+    /// Empty if no team is known.
+    team_name m_team;
     std::vector<entry> m_entries;
 };
 
--- a/lib/gateway/running_request.cpp
+++ b/lib/gateway/running_request.cpp
@@ -48,6 +48,8 @@
     , m_trace(terms.id, state.loop.now(), state.loop.processorTime())
     , m_timer(state.loop, [this] { onTimer(); })
 {
+    if (identity.team)
+        m_trace.setTeam(identity.team->name);
     const duration timeBudget =
             std::min(terms.timeBudget.value_or(m_route->timeout), m_route->timeout);
     const duration margin = std::min(m_state.options.answerMargin, timeBudget / marginDivisor);
