Select the entry of a key by a digest of 128 bits

Change: XXH3 with 128 bits. The comparison in constant time decides as before.

Measured: team_directory.findsExactKeysOnly and the tests of team access pass.

--- a/lib/gateway/team_directory.cpp
+++ b/lib/gateway/team_directory.cpp
@@ -32,9 +32,10 @@
     }
 }
 
-std::uint64_t team_directory::digest(std::string_view key) const
+team_directory::key_digest team_directory::digest(std::string_view key) const
 {
-    return XXH3_64bits_withSeed(key.data(), key.size(), m_seed.value());
+    const XXH128_hash_t hash = XXH3_128bits_withSeed(key.data(), key.size(), m_seed.value());
+    return {hash.high64, hash.low64};
 }
 
 team_ptr team_directory::find(std::string_view key) const
--- a/lib/gateway/team_directory.h
+++ b/lib/gateway/team_directory.h
@@ -5,9 +5,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -39,10 +39,12 @@
         team_ptr team;
     };
 
-    std::uint64_t digest(std::string_view key) const;
+    using key_digest = std::pair<std::uint64_t, std::uint64_t>;
+
+    key_digest digest(std::string_view key) const;
 
     digest_seed m_seed;
-    std::unordered_multimap<std::uint64_t, entry> m_byDigest;
+    std::multimap<key_digest, entry> m_byDigest;
 };
 
 } // namespace peridotwheel
