Mend late evacuations, moved servers and limits of cold servers

Cause: found by review. Attempts that waited for an evacuated server were handed to others of the same data centre that were marked after it, and sent. An instance that knew the servers before the evacuations sent to all of them. A server that moved to another data centre kept the attempts that waited for it, so that they left their homes. A cold time in the entry of a known server was ignored, while an entry that changed for another reason ended or repeated a cold time. Instances that sent in step exceeded the limit of a cold server. Attempts waited until their deadline for servers whose limits let them through later.

Change: all servers are marked before waiting attempts are failed. With evacuations enabled, nothing is sent and the instance is not ready until the list is known, for at most the time within which it applies. A server in another data centre counts as another server. A cold time counts when it changes, and an entry never shortens one; instances use 0.9 of the limit. Attempts that a limit lets through too late are given to other servers.

--- a/include/peridotwheel/gateway/backend_record.h
+++ b/include/peridotwheel/gateway/backend_record.h
@@ -31,7 +31,7 @@
     {
         return a.id == b.id && a.start == b.start && a.service == b.service &&
                a.address == b.address && a.dataCentre == b.dataCentre && a.slots == b.slots &&
-               a.draining == b.draining;
+               a.draining == b.draining && a.coldRemaining == b.coldRemaining;
     }
     friend bool operator!=(const backend_record &a, const backend_record &b) { return !(a == b); }
 };
--- a/include/peridotwheel/gateway/backend_server.h
+++ b/include/peridotwheel/gateway/backend_server.h
@@ -127,7 +127,8 @@
     const server_health &health() const { return m_health; }
     /// Returns the limit that the server has named, if any.
     std::optional<request_rate> limit() const { return m_limit.limit(m_env.loop.now()); }
-    /// Applies a newer record of the same run of the server.
+    /// Applies a newer record of the same run of the server. Attempts that wait for a server that
+    /// drains now go on waiting until `failWaitingIfUnwanted`.
     void update(const backend_record &record);
     /// Sets how many connections may be open at once, and how many of them may stay open without a
     /// request. An instance without a share of its own opens single ones on demand, \p onDemand of
@@ -145,11 +146,15 @@
     /// a while. If not, it is opened when a request needs it.
     void setOpenedInAdvance(bool opened) { m_isOpenedInAdvance = opened; }
     /// Sets whether nothing is sent to the server because its data centre is evacuated. Attempts in
-    /// flight continue.
+    /// flight continue; the waiting ones do so until `failWaitingIfUnwanted`.
     void setEvacuated(bool isEvacuated);
     /// Sets the rate of requests that the server accepts from all instances together while it is
     /// cold; absent if it is not limited.
     void setColdLimit(std::optional<request_rate> limit);
+    /// Fails the waiting attempts if the server gets none now, and those that its limits let
+    /// through only after their deadline. To be called once all servers are up to date, since the
+    /// attempts are handed to others.
+    void failWaitingIfUnwanted();
     /// Fails the waiting attempts and takes no part in further placement. Attempts in flight
     /// continue.
     void drain();
@@ -210,8 +215,6 @@
     void recordHealth(const backend_attempt &a, const attempt_result &result, time_point now);
     void complete(const backend_attempt_ptr &a, attempt_result result);
     void failWaiting();
-    /// Fails the attempts that wait for a server to which none may be sent now.
-    void failWaitingIfUnwanted();
     bool wantsNoRequests() const;
     void release(slot &s);
     void noteEndOfIdle(const slot &s);
--- a/include/peridotwheel/gateway/gateway.h
+++ b/include/peridotwheel/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace peridotwheel {
@@ -40,6 +41,9 @@
     std::size_t maxConcurrentRequests = 2048;
     /// Attempts still in flight this long after their caller has disconnected are aborted.
     duration abandonedAttemptGrace = milliseconds(250);
+    /// An instance that does not know the evacuations yet sends nothing for this time after its
+    /// start; absent if there are no evacuations.
+    std::optional<duration> evacuateWithin;
     /// Random number that callers cannot know.
     std::uint64_t secret = 0;
 };
--- a/lib/gateway/backend_server.cpp
+++ b/lib/gateway/backend_server.cpp
@@ -28,6 +28,10 @@
 constexpr duration unneededAfter = seconds(5);
 /// The limit of a cold server ends with its coldness, of which it or the store informs.
 constexpr duration coldLimitLifetime = std::chrono::hours(24);
+/// Part of the limit of a cold server that the instances use. At the whole limit, requests that are
+/// sent a second apart and travel for different times arrive within one second, which doubles the
+/// rate if many instances send in step.
+constexpr double usableColdRate = 0.9;
 /// Interval and timeout of the health checks of a suspected server.
 constexpr duration checkInterval = milliseconds(300);
 constexpr duration checkTimeout = milliseconds(700);
@@ -75,10 +79,16 @@
 
 void backend_server::update(const backend_record &record)
 {
+    // The entry states the time that was left when it was written, which is out of date when the
+    // entry changes for another reason. It also lags behind what the server itself has stated, and
+    // does not end a cold time.
+    const bool isColdTimeNew = record.coldRemaining != m_record.coldRemaining;
     m_record = record;
-    setColdFor(record.coldRemaining);
-    if (isDraining())
-        drain();
+    m_isDraining = isDraining();
+    if (!isColdTimeNew)
+        return;
+    m_coldUntil = std::max(m_coldUntil, m_env.loop.now() + record.coldRemaining);
+    updateColdLimit();
 }
 
 void backend_server::setConnectionShare(std::uint32_t maxConnections, std::uint32_t standing,
@@ -108,11 +118,7 @@
 
 void backend_server::setEvacuated(bool isEvacuated)
 {
-    if (std::exchange(m_isEvacuated, isEvacuated) == isEvacuated)
-        return;
-    const auto self = shared_from_this();
-    if (isEvacuated)
-        failWaiting();
+    m_isEvacuated = isEvacuated;
 }
 
 void backend_server::setColdLimit(std::optional<request_rate> limit)
@@ -131,7 +137,10 @@
 {
     const time_point now = m_env.loop.now();
     const bool isLimited = m_namedColdLimit && now < m_coldUntil;
-    if (m_coldLimit.onAnswer(isLimited ? m_namedColdLimit : std::nullopt, now))
+    std::optional<request_rate> used;
+    if (isLimited)
+        used = request_rate(usableColdRate * m_namedColdLimit->perSecond());
+    if (m_coldLimit.onAnswer(used, now))
         m_env.onStateChanged(*this, isLimited ? "server_cold" : "server_cold_ended");
     updateLimitShare();
 }
@@ -149,8 +158,25 @@
 
 void backend_server::failWaitingIfUnwanted()
 {
+    const auto self = shared_from_this();
     if (wantsNoRequests())
-        failWaiting();
+        return failWaiting();
+    if (m_waiting.empty() || limitDelay(m_waiting.size() - 1) <= duration::zero())
+        return;
+    const time_point now = m_env.loop.now();
+    std::vector<backend_attempt_ptr> late;
+    std::size_t ahead = 0;
+    for (auto it = m_waiting.begin(); it != m_waiting.end();) {
+        if (now + limitDelay(ahead) < it->second->spec.deadline) {
+            ++ahead;
+            ++it;
+            continue;
+        }
+        late.push_back(it->second);
+        it = m_waiting.erase(it);
+    }
+    for (const auto &a : late)
+        complete(a, {});
 }
 
 duration backend_server::availableIn() const
@@ -639,8 +665,8 @@
     const time_point now = m_env.loop.now();
     if (const auto named = limit())
         m_limit.setOwnShare(m_env.ownShareOfLimit(m_record, *named), now);
-    if (const auto cold = m_coldLimit.limit(now))
-        m_coldLimit.setOwnShare(m_env.ownShareOfLimit(m_record, *cold), now);
+    if (m_namedColdLimit && m_coldLimit.limit(now))
+        m_coldLimit.setOwnShare(m_env.ownShareOfLimit(m_record, *m_namedColdLimit), now);
 }
 
 server_samples backend_server::takeSamples()
@@ -665,6 +691,8 @@
     if (m_coldLimit.limit(now) && now >= m_coldUntil)
         updateColdLimit();
     endOverdueAttempts(now);
+    if (!m_waiting.empty())
+        failWaitingIfUnwanted();
     closeStale(now);
     checkHealth(now);
     if (wantsNoRequests() || now < m_connectAfter)
--- a/lib/gateway/evacuation_view.cpp
+++ b/lib/gateway/evacuation_view.cpp
@@ -47,10 +47,11 @@
 
 void evacuation_view::apply(evacuation_list list, const char *source)
 {
+    const bool isFirst = !m_list;
     const std::set<data_centre_id> before =
             m_list ? std::move(m_list->dataCentres) : std::set<data_centre_id>();
     m_list = std::move(list);
-    if (m_list->dataCentres == before)
+    if (!isFirst && m_list->dataCentres == before)
         return;
     for (const auto &dataCentre : m_list->dataCentres) {
         if (before.count(dataCentre) == 0)
--- a/lib/gateway/evacuation_view.h
+++ b/lib/gateway/evacuation_view.h
@@ -32,7 +32,8 @@
 
     using evacuations_hook = std::function<void(const std::set<data_centre_id> &)>;
 
-    /// \p onChanged is called with all evacuated data centres after each change.
+    /// \p onChanged is called with all evacuated data centres once they are known and after each
+    /// change.
     evacuation_view(event_loop &loop, platform_client &store, counter_set &counters,
                     decision_log &log, const settings &s, evacuations_hook onChanged);
     evacuation_view(const evacuation_view &) = delete;
--- a/lib/gateway/gateway_instance.cpp
+++ b/lib/gateway/gateway_instance.cpp
@@ -36,6 +36,7 @@
     o.regions = s.regions;
     o.extraAttempts = s.extraAttempts;
     o.link = s.link;
+    o.evacuateWithin = s.evacuateWithin;
     o.secret = secret;
     return o;
 }
--- a/lib/gateway/gateway_state.cpp
+++ b/lib/gateway/gateway_state.cpp
@@ -100,6 +100,7 @@
     , share(options.self, l.now(), connection_share::defaultAbsenceHold, options.dataCentre,
             [this](const data_centre_id &a, const data_centre_id &b) { return nearness(a, b); })
     , random(std::hash<std::string>()(options.self.value()))
+    , m_awaitsEvacuations(options.evacuateWithin.has_value())
     , m_startedAt(l.now())
     , m_lastTick(m_startedAt - tickInterval)
 {
@@ -177,11 +178,14 @@
 void gateway_state::setServers(const backend_map &records)
 {
     std::vector<backend_server_ptr> removed;
+    // A server in another data centre is another one: attempts wait for this one because of where
+    // it was.
     for (auto it = servers.begin(); it != servers.end();) {
         const backend_record &old = it->second->record();
         const auto found = records.find(it->first);
         const bool same = found != records.end() && found->second.start == old.start &&
                           found->second.address == old.address &&
+                          found->second.dataCentre == old.dataCentre &&
                           found->second.service == old.service;
         if (same) {
             ++it;
@@ -198,6 +202,7 @@
                 .add("server", server->record().id.value())
                 .add("service", server->record().service.value());
     }
+    std::vector<backend_server_ptr> changed;
     for (const auto &[id, record] : records) {
         backend_server_ptr &server = servers[id];
         if (server) {
@@ -208,12 +213,12 @@
                     .add("service", record.service.value())
                     .add("draining", record.draining ? "yes" : "no");
             server->update(record);
-            server->setEvacuated(evacuated.count(record.dataCentre) != 0);
+            changed.push_back(server);
             continue;
         }
         server = makeServer(record);
         updateShare(*server);
-        server->setEvacuated(evacuated.count(record.dataCentre) != 0);
+        server->setEvacuated(isEvacuated(record.dataCentre));
         groupOf(record.service)->servers.push_back(server);
         m_isFullRoundDue = true;
         log.state("server_joined")
@@ -221,6 +226,8 @@
                 .add("service", record.service.value())
                 .add("data_centre", record.dataCentre.value());
     }
+    for (const auto &server : changed)
+        server->failWaitingIfUnwanted();
     for (const auto &server : removed)
         server->drain();
 }
@@ -239,14 +246,39 @@
 void gateway_state::setEvacuated(const std::set<data_centre_id> &dataCentres)
 {
     evacuated = dataCentres;
-    count.evacuatedDataCentres.set(evacuated.size());
-    // Attempts that wait for an evacuated server may be given to others meanwhile.
+    count.evacuatedDataCentres.set(dataCentres.size());
+    applyEvacuations();
+}
+
+bool gateway_state::isEvacuated(const data_centre_id &dataCentre) const
+{
+    return evacuated ? evacuated->count(dataCentre) != 0 : m_awaitsEvacuations;
+}
+
+void gateway_state::applyEvacuations()
+{
+    for (const auto &[id, server] : servers)
+        server->setEvacuated(isEvacuated(server->record().dataCentre));
+    // Attempts that wait for an evacuated server are handed to others, which must know of their own
+    // evacuation by then.
     const auto all = servers;
     for (const auto &[id, server] : all)
-        server->setEvacuated(evacuated.count(server->record().dataCentre) != 0);
+        server->failWaitingIfUnwanted();
     m_isFullRoundDue = true;
 }
 
+void gateway_state::endAwaitOfEvacuations(time_point now)
+{
+    if (!m_awaitsEvacuations || now - m_startedAt < *options.evacuateWithin)
+        return;
+    // Instances of earlier builds send no list, and must not keep this one from serving.
+    m_awaitsEvacuations = false;
+    if (evacuated)
+        return;
+    log.state("evacuations_unknown").add("action", "servers of all data centres are used");
+    applyEvacuations();
+}
+
 void gateway_state::updateShares()
 {
     for (const auto &[id, server] : servers)
@@ -446,6 +478,7 @@
     maintainDueGroups();
     maintainBusyServers();
     updateMembership(now);
+    endAwaitOfEvacuations(now);
     m_lastTick = now;
     for (const auto &request : running)
         request->reportProgress();
--- a/lib/gateway/gateway_state.h
+++ b/lib/gateway/gateway_state.h
@@ -16,6 +16,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_set>
 #include <vector>
@@ -117,7 +118,8 @@
     /// The teams of the configuration in force; absent if callers do not authenticate.
     std::optional<team_directory> teams;
     member_map members;
-    std::set<data_centre_id> evacuated;
+    /// Data centres to whose servers nothing is sent; absent while they are unknown.
+    std::optional<std::set<data_centre_id>> evacuated;
     connection_share share;
     /// Called when a reply shows that the view of the servers is out of date.
     std::function<void()> onOutdatedView;
@@ -165,7 +167,14 @@
     void logAdmissions();
     void logOpenAdmission(const service_name &shard, const char *reason);
 
+    bool isEvacuated(const data_centre_id &dataCentre) const;
+    void applyEvacuations();
+    /// Uses all servers if the evacuations are still unknown although they were due.
+    void endAwaitOfEvacuations(time_point now);
+
     std::uint64_t m_nextQuery = 1;
+    /// Whether nothing is sent while the evacuations are unknown.
+    bool m_awaitsEvacuations;
     time_point m_startedAt;
     time_point m_lastTick;
     unsigned m_ticks = 0;
--- a/unittests/gateway/evacuation_test.cpp
+++ b/unittests/gateway/evacuation_test.cpp
@@ -155,6 +155,31 @@
     EXPECT_EQ(plainServer(0).arrived.size(), before);
 }
 
+// An attempt that waited for one server of the data centre was handed to another one there, which
+// had not been told of the evacuation yet, and sent.
+TEST_F(evacuated_gateway_test, movesWaitingAttemptsToNoOtherEvacuatedServer)
+{
+    addServer("plain", 2009, "near");
+    warmUp();
+    for (int i = 0; i < 60; ++i)
+        send("/one/", "open-" + std::to_string(i));
+    loop.advance(milliseconds(500));
+    plainServer(0).work = milliseconds(300);
+    plainServer(1).distance = milliseconds(400);
+    plainServer(2).distance = milliseconds(400);
+    // Without second attempts, which would move the waiting ones earlier.
+    for (int i = 0; i < 90; ++i)
+        send("/once/", "burst-" + std::to_string(i));
+    loop.advance(milliseconds(40));
+    const auto arrivedThere = [this] {
+        return plainServer(0).arrived.size() + backends.at(2009).arrived.size();
+    };
+    const std::size_t before = arrivedThere();
+    gate.setEvacuated({data_centre_id("near")});
+    loop.advance(seconds(2));
+    EXPECT_EQ(arrivedThere(), before);
+}
+
 // Guards against requests that wait for a data centre of which nobody knows when it comes back.
 TEST_F(evacuated_gateway_test, refusesAtOnceIfAllServersAreEvacuated)
 {
@@ -178,3 +203,48 @@
     }
     EXPECT_THAT(backends.at(2009).arrived, IsEmpty());
 }
+
+namespace {
+
+class starting_gateway_test : public gateway_fixture
+{
+protected:
+    starting_gateway_test()
+        : gateway_fixture(options())
+    {
+    }
+
+    static gateway_options options()
+    {
+        gateway_options o = defaultOptions();
+        o.evacuateWithin = seconds(5);
+        return o;
+    }
+};
+
+} // namespace
+
+// An instance that knew the servers before the evacuations sent requests to all data centres.
+TEST_F(starting_gateway_test, sendsNothingBeforeItKnowsTheEvacuations)
+{
+    start();
+    EXPECT_FALSE(gate.isReady());
+    EXPECT_EQ(statusOf(send("/one/", "early")), 503);
+    gate.setEvacuated({data_centre_id("near")});
+    loop.advance(seconds(1));
+    EXPECT_TRUE(gate.isReady());
+    const auto client = send("/one/", "r");
+    loop.advance(seconds(1));
+    EXPECT_EQ(statusOf(client), 200);
+    EXPECT_THAT(plainServer(0).arrived, IsEmpty());
+}
+
+// Guards against an instance that never serves because only earlier builds answer it.
+TEST_F(starting_gateway_test, servesWithoutAListOnceItWasDue)
+{
+    start();
+    loop.advance(seconds(5));
+    const auto client = send("/one/", "r");
+    loop.advance(seconds(1));
+    EXPECT_EQ(statusOf(client), 200);
+}
--- a/unittests/gateway/server_notice_test.cpp
+++ b/unittests/gateway/server_notice_test.cpp
@@ -217,6 +217,38 @@
     EXPECT_GE(completeShare(warm), 0.95);
 }
 
+// Instances that send in step, some requests of which are delayed on their way, exceeded the limit
+// of a cold server by more than the tolerance.
+TEST_F(gateway_fleet_test, keepsWithinTheLimitOfAColdServerInBursts)
+{
+    constexpr double coldLimit = 40;
+    startFleet(40);
+    route_configuration limited = configuration(2);
+    limited.services[service_name("plain")].maxConnections = 200;
+    limited.services[service_name("plain")].coldLimit = request_rate(coldLimit);
+    for (const auto &each : fleet) {
+        each->gate.setRoutes(std::make_shared<route_table>(limited));
+        each->gate.setEvacuated({data_centre_id("far"), data_centre_id("farther")});
+    }
+    run(seconds(5), 120, "/one/");
+    servers.at(server_id("server-" + std::to_string(plainPort(0)))).coldRemaining = seconds(20);
+    for (const auto &each : fleet)
+        each->gate.setServers(servers);
+    loop.advance(seconds(4));
+    const time_point cold = loop.now();
+    for (const duration distance : {milliseconds(60), milliseconds(2)}) {
+        plainServer(0).distance = distance;
+        for (const auto &each : fleet)
+            sendThrough(*each, "/one/");
+        loop.advance(milliseconds(1005));
+    }
+    const auto &at = plainServer(0).arrivedAt;
+    const auto first = std::lower_bound(at.begin(), at.end(), cold);
+    ASSERT_NE(first, at.end());
+    EXPECT_LE(std::lower_bound(first, at.end(), *first + seconds(1)) - first,
+              static_cast<std::ptrdiff_t>(1.5 * coldLimit + 5));
+}
+
 // Instances without a share of a limit get no answers that tell them of its end.
 TEST_F(gateway_fleet_test, usesAServerAgainAfterItsLimitHasEnded)
 {
@@ -326,6 +358,72 @@
     EXPECT_GE(plainServer(0).arrived.size() - warm, 25U);
 }
 
+// A server that turned cold by its entry alone was not limited. An entry that repeated an old time
+// ended the limit of a server that had become cold since, or limited a warm one anew.
+TEST_F(server_notice_test, followsTheColdTimeOfAnEntryOnce)
+{
+    warmUp();
+    route_configuration limited = configuration(2);
+    limited.services[service_name("plain")].coldLimit = request_rate(5);
+    gate.setRoutes(std::make_shared<route_table>(limited));
+    backend_record &record = servers.at(server_id("server-" + std::to_string(plainPort(0))));
+    const auto arrivedDuring = [this](int requests) {
+        const std::size_t before = plainServer(0).arrived.size();
+        EXPECT_EQ(answered("/one/", requests), requests);
+        return plainServer(0).arrived.size() - before;
+    };
+    const auto write = [&](duration coldRemaining, std::uint32_t slots) {
+        record.coldRemaining = coldRemaining;
+        record.slots = slots;
+        gate.setServers(servers);
+    };
+    constexpr std::size_t most = 15;
+    write(seconds(4), 2);
+    EXPECT_LE(arrivedDuring(50), most);
+    // The entry is out of date, since the server is still cold.
+    write(duration::zero(), 3);
+    EXPECT_LE(arrivedDuring(50), most);
+    loop.advance(seconds(4));
+    write(seconds(4), 3);
+    loop.advance(seconds(5));
+    write(seconds(4), 2);
+    EXPECT_GE(arrivedDuring(50), 25U) << "the server has been warm since";
+    plainServer(0).notices = {{"Cold-Ms", "4000"}};
+    arrivedDuring(1);
+    plainServer(0).notices.clear();
+    write(seconds(4), 3);
+    EXPECT_LE(arrivedDuring(50), most);
+}
+
+// Attempts waited until their deadline for a server that had become cold and takes few requests.
+TEST_F(server_notice_test, movesWaitingAttemptsThatAColdServerTakesTooLate)
+{
+    member_map members;
+    for (int i = 0; i < 40; ++i) {
+        member m;
+        m.id = instance_id(i == 0 ? "self" : "other-" + std::to_string(i));
+        m.dataCentre = data_centre_id("far");
+        members[m.id] = m;
+    }
+    warmUp();
+    gate.setInstances(members);
+    // Each instance has some of the servers' connections, and one of them a server's whole limit.
+    route_configuration limited = configuration(2);
+    limited.services[service_name("plain")].maxConnections = 100;
+    limited.services[service_name("plain")].coldLimit = request_rate(1);
+    gate.setRoutes(std::make_shared<route_table>(limited));
+    loop.advance(seconds(3));
+    plainServer(0).work = milliseconds(200);
+    std::vector<std::shared_ptr<fake_client>> clients;
+    for (int i = 0; i < 30; ++i)
+        clients.push_back(send("/once/", "r" + std::to_string(i)));
+    servers.at(server_id("server-" + std::to_string(plainPort(0)))).coldRemaining = seconds(30);
+    gate.setServers(servers);
+    loop.advance(milliseconds(700));
+    for (const auto &client : clients)
+        EXPECT_EQ(statusOf(client), 200);
+}
+
 // A server that asked for a pause got the next requests at once, as any server that rejects one.
 TEST_F(server_notice_test, leavesAServerAloneForTheTimeThatItAsksFor)
 {
--- a/unittests/gateway/team_access_test.cpp
+++ b/unittests/gateway/team_access_test.cpp
@@ -150,6 +150,23 @@
     EXPECT_THAT(reachedReplicas(), testing::ElementsAre(1, 2));
 }
 
+// An attempt that waited for a server was sent there after the server had moved to another region.
+TEST_F(team_access_test, sendsNoWaitingAttemptToAServerThatLeavesTheHomes)
+{
+    startWith(1, std::nullopt, [](route &r) { r.homes = {region_id("north")}; });
+    plainServer(0).work = milliseconds(100);
+    std::vector<std::shared_ptr<fake_client>> clients;
+    for (int i = 0; i < 60; ++i)
+        clients.push_back(send("/one/", "r" + std::to_string(i)));
+    loop.advance(milliseconds(10));
+    const std::size_t before = plainServer(0).arrived.size();
+    servers.at(server_id("server-" + std::to_string(plainPort(0)))).dataCentre =
+            data_centre_id("far");
+    gate.setServers(servers);
+    loop.advance(seconds(2));
+    EXPECT_EQ(plainServer(0).arrived.size(), before);
+}
+
 // Guards against a team whose requests leave its regions on a route without homes.
 TEST_F(team_access_test, appliesTheHomesOfRouteAndTeam)
 {
