Share admitted queries among the teams of a rank by max-min fairness

Cause: while admission control restricts, a query was admitted by its rank only, so that one team at many times its usual load cost all others the same share.

Change: team_shares divides what a rank is given among its teams by max-min fairness over the work that they offered in the last seconds. The simulated shards know teams. The line admission_restricted names the number of teams.

--- a/lib/gateway/admission_share.cpp
+++ b/lib/gateway/admission_share.cpp
@@ -244,20 +244,33 @@
     m_share = std::clamp(std::max(m_share * factor, minBusyShare), minAdmittedShare, m_share);
 }
 
-bool admission_share::admit(class_rank rank, duration work, double chance, time_point now)
+double admission_share::shareOfRank(class_rank rank) const
 {
-    decay(now);
-    m_offered[rank] += toMilliseconds(work);
-    adjust(now);
     if (m_share >= 1)
-        return true;
+        return 1;
     const double all = totalOffered();
     rank_demands demands;
     for (const auto &[r, offered] : m_offered) {
         const auto floor = m_floors.find(r);
         demands[r] = {offered / all, floor == m_floors.end() ? 0 : floor->second};
     }
-    return chance < divideAdmission(m_share, demands).at(rank);
+    return divideAdmission(m_share, demands).at(rank);
+}
+
+bool admission_share::admit(class_rank rank, const team_name &team, duration work, double chance,
+                            time_point now)
+{
+    decay(now);
+    m_offered[rank] += toMilliseconds(work);
+    adjust(now);
+    if (!isOverloaded(now)) {
+        m_teams.clear();
+        return true;
+    }
+    const double ofRank = shareOfRank(rank);
+    if (team.value().empty() && m_teams.isEmpty())
+        return chance < ofRank;
+    return chance < m_teams.add(rank, team, work, ofRank, now);
 }
 
 void admission_share::onQueryEnded(const query_progress &query, time_point now)
--- a/lib/gateway/admission_share.h
+++ b/lib/gateway/admission_share.h
@@ -4,6 +4,7 @@
 #include "peridotwheel/configuration/class_spec.h"
 #include "peridotwheel/support/strong_id.h"
 #include "peridotwheel/support/units.h"
+#include "team_shares.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -64,7 +65,15 @@
     void setClasses(const std::map<class_name, class_spec> &classes);
     /// Returns whether to admit a query with service time \p work at each shard. \p chance is a
     /// random number, uniform in [0, 1).
-    bool admit(class_rank rank, duration work, double chance, time_point now);
+    bool admit(class_rank rank, duration work, double chance, time_point now)
+    {
+        return admit(rank, team_name(), work, chance, now);
+    }
+    /// The same for a query of \p team. Within its rank, teams share by max-min fairness.
+    bool admit(class_rank rank, const team_name &team, duration work, double chance,
+               time_point now);
+    /// Returns the number of teams that share what is admitted.
+    std::size_t teams() const { return m_teams.teams(); }
     /// Records the end of an admitted query.
     void onQueryEnded(const query_progress &query, time_point now);
     /// Records the progress of a query that is still running; to be called a few times a second.
@@ -111,6 +120,8 @@
     void addSample(const query_progress &query, time_point now);
     void decay(time_point now);
     double totalOffered() const;
+    /// Returns the share of the queries of a rank to admit, whatever their team.
+    double shareOfRank(class_rank rank) const;
 
     std::map<class_rank, double> m_floors;
     duration m_shortestTarget{};
@@ -118,6 +129,7 @@
     /// which only the proportions matter.
     std::map<class_rank, double> m_offered;
     double m_finished = 0;
+    team_shares m_teams;
     time_point m_decayedAt{};
     double m_share = 1;
     /// The last sample of each recent query, oldest first.
--- a/lib/gateway/gateway_state.cpp
+++ b/lib/gateway/gateway_state.cpp
@@ -390,6 +390,7 @@
         log.state("admission_restricted")
                 .add("first_shard", shard.value())
                 .add("share_permille", static_cast<std::int64_t>(1000 * admitted))
+                .add("teams", static_cast<std::int64_t>(a.share->teams()))
                 .addMs("queued_ms", a.share->queueing())
                 .addMs("tolerated_ms", a.share->restrictedTarget());
     }
--- a/lib/gateway/running_request.cpp
+++ b/lib/gateway/running_request.cpp
@@ -22,6 +22,7 @@
                                  std::shared_ptr<http_responder> client)
     : m_state(state)
     , m_route(std::move(r))
+    , m_team(identity.team)
     , m_rank(identity.team && identity.team->rank ? *identity.team->rank : m_route->rank)
     , m_homes(*m_route, identity.team.get(), state.options.regions)
     , m_admission(state.admissionOf(*m_route))
@@ -93,7 +94,8 @@
         return true;
     const duration work = m_state.workOf(*m_route).onIdleServers();
     const time_point now = m_state.loop.now();
-    if (m_admission->admit(m_rank, work, m_state.random.fraction(), now))
+    const team_name team = m_team ? m_team->name : team_name();
+    if (m_admission->admit(m_rank, team, work, m_state.random.fraction(), now))
         return true;
     m_trace.add(now, "not_admitted", "", "", toMilliseconds(m_admission->queueing()));
     refuse(m_admission->retryAfter(m_state.random.fraction()),
--- a/lib/gateway/running_request.h
+++ b/lib/gateway/running_request.h
@@ -156,6 +156,8 @@
 
     gateway_state &m_state;
     route_ptr m_route;
+    /// Null if no team is known.
+    team_ptr m_team;
     /// That of the team or, if it has none, of the route.
     class_rank m_rank;
     region_filter m_homes;
--- a/unittests/gateway/server_notice_test.cpp
+++ b/unittests/gateway/server_notice_test.cpp
@@ -415,7 +415,9 @@
     loop.advance(seconds(3));
     plainServer(0).work = milliseconds(200);
     std::vector<std::shared_ptr<fake_client>> clients;
-    for (int i = 0; i < 30; ++i)
+    constexpr int requests = 30;
+    clients.reserve(requests);
+    for (int i = 0; i < requests; ++i)
         clients.push_back(send("/once/", "r" + std::to_string(i)));
     servers.at(server_id("server-" + std::to_string(plainPort(0)))).coldRemaining = seconds(30);
     gate.setServers(servers);
--- a/unittests/gateway/shared_shards.cpp
+++ b/unittests/gateway/shared_shards.cpp
@@ -21,6 +21,11 @@
 constexpr unsigned reportPeriodTicks = 50;
 constexpr duration roundTrip = milliseconds(1);
 
+team_name nameOfTeam(int team)
+{
+    return team < 0 ? team_name() : team_name("team-" + std::to_string(team));
+}
+
 } // namespace
 
 void simulated_server::serve(duration work, done_fn done)
@@ -82,6 +87,7 @@
 {
     instance *at = nullptr;
     const simulated_class *of = nullptr;
+    int team = -1;
     std::uint64_t number = 0;
     time_point arrival;
     double factor = 1;
@@ -119,6 +125,12 @@
             m_instances.back()->health.emplace_back(replicas.size(),
                                                     server_health(roundTrip, m_loop.now()));
     }
+    m_teamCounts.resize(static_cast<std::size_t>(m_spec.teams));
+    for (int t = 0; t < m_spec.teams; ++t) {
+        m_homesOfTeams.emplace_back();
+        for (int i = 0; i < m_spec.instancesPerTeam; ++i)
+            m_homesOfTeams.back().push_back(m_random.below(m_instances.size()));
+    }
 }
 
 shared_shards::~shared_shards() = default;
@@ -143,7 +155,9 @@
 {
     const time_point end = m_loop.now() + length;
     constexpr double msPerSecond = 1000;
-    const double perStep = load * capacity() / msPerSecond;
+    // A hot team adds to the load.
+    const double teams = std::max(m_spec.teams, 1);
+    const double perStep = load * capacity() / msPerSecond * (teams + m_hotTeam - 1) / teams;
     while (m_loop.now() < end) {
         for (const simulated_class &c : m_spec.classes) {
             std::poisson_distribution<int> arrivals(perStep * c.share);
@@ -174,17 +188,35 @@
 
 void shared_shards::offer(const simulated_class &c)
 {
-    instance &at = *m_instances[m_random.below(m_instances.size())];
+    if (m_spec.teams == 0)
+        return offer(c, *m_instances[m_random.below(m_instances.size())], -1);
+    const double drawn = m_random.fraction() * (m_spec.teams + m_hotTeam - 1);
+    const int team = drawn < m_hotTeam ? 0 : static_cast<int>(drawn - m_hotTeam) + 1;
+    const auto &homes = m_homesOfTeams[static_cast<std::size_t>(team)];
+    offer(c, *m_instances[homes[m_random.below(homes.size())]], team);
+}
+
+simulated_counts &shared_shards::countsOf(int team)
+{
+    static simulated_counts unused;
+    return team < 0 ? unused : m_teamCounts[static_cast<std::size_t>(team)];
+}
+
+void shared_shards::offer(const simulated_class &c, instance &at, int team)
+{
     simulated_counts &counts = m_counts.at(c.rank);
     ++counts.offered;
+    ++countsOf(team).offered;
     const duration work = at.work[c.rank].onIdleServers();
-    if (!at.share.admit(c.rank, work, m_random.fraction(), m_loop.now())) {
+    if (!at.share.admit(c.rank, nameOfTeam(team), work, m_random.fraction(), m_loop.now())) {
         ++counts.refused;
+        ++countsOf(team).refused;
         return;
     }
     auto q = std::make_shared<query>();
     q->at = &at;
     q->of = &c;
+    q->team = team;
     q->number = ++m_queries;
     q->arrival = m_loop.now();
     q->factor = drawFactor();
@@ -255,7 +287,8 @@
 {
     simulated_counts &counts = m_counts.at(q->of->rank);
     const bool inTime = m_loop.now() - q->arrival <= q->of->target;
-    ++(q->rejected > 0 ? counts.failed : inTime ? counts.inTarget : counts.late);
+    for (simulated_counts *each : {&counts, &countsOf(q->team)})
+        ++(q->rejected > 0 ? each->failed : inTime ? each->inTarget : each->late);
     q->at->share.onQueryEnded(progress(*q), m_loop.now());
     m_running.remove(q);
 }
@@ -269,6 +302,8 @@
 {
     for (auto &[rank, c] : m_counts)
         c = simulated_counts();
+    for (auto &c : m_teamCounts)
+        c = simulated_counts();
 }
 
 void shared_shards::slowDown(double share, double factor)
--- a/unittests/gateway/shared_shards.h
+++ b/unittests/gateway/shared_shards.h
@@ -43,6 +43,11 @@
     bool variesByQuery = true;
     /// Whether servers differ in speed, pause, and are slow from time to time.
     bool hasUnevenServers = false;
+    /// Teams that offer equal shares of the queries unless one is hot; 0 for queries without a
+    /// team.
+    int teams = 0;
+    /// Number of instances to which the callers of a team are connected.
+    int instancesPerTeam = 2;
 };
 
 /// A server that runs up to `slots` parts concurrently, queues six times as many in FIFO order and
@@ -108,6 +113,10 @@
     /// Ends all queries in flight.
     void finish();
     void resetCounts();
+    /// Makes the first team offer \p factor times as many queries, in addition to the load.
+    void setHotTeam(double factor) { m_hotTeam = factor; }
+    /// Returns the counts of each team.
+    const std::vector<simulated_counts> &teamCounts() const { return m_teamCounts; }
     /// Makes a share of the servers slower by \p factor.
     void slowDown(double share, double factor);
 
@@ -126,6 +135,8 @@
     double drawFactor();
     void advance();
     void offer(const simulated_class &c);
+    void offer(const simulated_class &c, instance &at, int team);
+    simulated_counts &countsOf(int team);
     void send(const std::shared_ptr<query> &q, std::size_t shard, int excluded);
     void end(const std::shared_ptr<query> &q);
     query_progress progress(const query &q) const;
@@ -137,6 +148,10 @@
     std::vector<std::unique_ptr<instance>> m_instances;
     std::list<std::shared_ptr<query>> m_running;
     std::map<class_rank, simulated_counts> m_counts;
+    std::vector<simulated_counts> m_teamCounts;
+    /// Instances to which the callers of each team are connected.
+    std::vector<std::vector<std::size_t>> m_homesOfTeams;
+    double m_hotTeam = 1;
     std::uint64_t m_queries = 0;
     unsigned m_ticks = 0;
 };
--- a/unittests/gateway/team_access_test.cpp
+++ b/unittests/gateway/team_access_test.cpp
@@ -155,9 +155,8 @@
 {
     startWith(1, std::nullopt, [](route &r) { r.homes = {region_id("north")}; });
     plainServer(0).work = milliseconds(100);
-    std::vector<std::shared_ptr<fake_client>> clients;
     for (int i = 0; i < 60; ++i)
-        clients.push_back(send("/one/", "r" + std::to_string(i)));
+        send("/one/", "r" + std::to_string(i));
     loop.advance(milliseconds(10));
     const std::size_t before = plainServer(0).arrived.size();
     servers.at(server_id("server-" + std::to_string(plainPort(0)))).dataCentre =
