Count the requests of each team on the metrics page

Cause: operators could not see which team causes an overload, nor what the others get.

Change: each instance counts offered, admitted and refused requests by team, for the teams of the configuration in force; the metrics page shows the 20 teams with the most requests.

--- a/include/peridotwheel/gateway/gateway.h
+++ b/include/peridotwheel/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include "peridotwheel/gateway/extra_attempt_budget.h"
 #include "peridotwheel/gateway/route.h"
 #include "peridotwheel/gateway/server_report.h"
+#include "peridotwheel/gateway/team_counts.h"
 #include "peridotwheel/gateway/wire_dialect.h"
 #include "peridotwheel/membership/member.h"
 
@@ -15,6 +16,8 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <utility>
+#include <vector>
 
 namespace peridotwheel {
 
@@ -83,6 +86,8 @@
     /// Returns whether requests can be served: a configuration is in force, and a server is
     /// connected for at least half of the services that have any.
     bool isReady() const;
+    /// Returns the counts of at most \p most teams, those with the most requests first.
+    std::vector<std::pair<team_name, team_count>> busiestTeams(std::size_t most) const;
     std::size_t requestsInFlight() const;
     /// Returns the share of queries, from 0 to 1, that the most restricted admission lets through.
     double lowestAdmissionShare() const;
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -54,6 +54,7 @@
             .add("routes", static_cast<std::int64_t>(routes->routes().size()));
     m_state->routes = std::move(routes);
     m_state->teams.reset();
+    m_state->teamCounts.keepOnly(m_state->routes->teams().value_or(std::vector<team_ptr>()));
     if (m_state->routes->teams())
         m_state->teams.emplace(*m_state->routes->teams(), digest_seed(m_state->options.secret));
     m_state->updateAdmissions();
@@ -145,12 +146,14 @@
         s.count.unauthenticated.add();
         return refuse(authenticationFailure(key.presence), "no_valid_key");
     }
+    s.teamCounts.addOffered(identity.team);
     if (!terms) {
         refuse({refusal_kind::BadRequest, std::nullopt, terms.error().message + "\n"},
                "bad_request");
         return;
     }
     if (s.running.size() >= s.options.maxConcurrentRequests) {
+        s.teamCounts.addRefused(identity.team);
         refuse({refusal_kind::NotRun, instanceFullRetryAfter,
                 "this instance serves as many requests as it can hold; not run, try again\n"},
                "instance_full");
@@ -204,6 +207,11 @@
     return least;
 }
 
+std::vector<std::pair<team_name, team_count>> gateway::busiestTeams(std::size_t most) const
+{
+    return m_state->teamCounts.busiest(most);
+}
+
 std::size_t gateway::requestsInFlight() const
 {
     return m_state->running.size();
--- a/lib/gateway/gateway_instance.cpp
+++ b/lib/gateway/gateway_instance.cpp
@@ -26,6 +26,8 @@
 constexpr duration stopMargin = milliseconds(400);
 /// Time before the exit at which all requests are answered, so that the answers can be sent.
 constexpr duration lastAnswerMargin = milliseconds(200);
+/// Teams on the metrics page, which stays short with a thousand teams.
+constexpr std::size_t shownTeams = 20;
 constexpr duration drainCheckInterval = milliseconds(50);
 
 gateway_options optionsFrom(const gateway_settings &s, std::uint64_t secret)
@@ -219,7 +221,9 @@
     m_counters.at("process.processor_ms")
             .set(static_cast<std::uint64_t>(toMilliseconds(m_loop.processorTime())));
     m_counters.at("log.lines_left_out").set(m_log.droppedLines());
-    client.reply({200, {{"Content-Type", "text/plain"}}, metricsText(m_counters)});
+    client.reply({200,
+                  {{"Content-Type", "text/plain"}},
+                  metricsText(m_counters, m_gateway.busiestTeams(shownTeams))});
 }
 
 void gateway_instance::impl::shutDown(std::function<void()> done)
--- a/lib/gateway/gateway_state.h
+++ b/lib/gateway/gateway_state.h
@@ -117,6 +117,7 @@
     route_table_ptr routes;
     /// The teams of the configuration in force; absent if callers do not authenticate.
     std::optional<team_directory> teams;
+    team_counts teamCounts;
     member_map members;
     /// Data centres to whose servers nothing is sent; absent while they are unknown.
     std::optional<std::set<data_centre_id>> evacuated;
--- a/lib/gateway/metrics_text.cpp
+++ b/lib/gateway/metrics_text.cpp
@@ -4,11 +4,18 @@
 
 namespace peridotwheel {
 
-std::string metricsText(const counter_set &counters)
+std::string metricsText(const counter_set &counters,
+                        const std::vector<std::pair<team_name, team_count>> &teams)
 {
     std::string out;
     for (const auto &[name, c] : counters.all())
         out += name + " " + std::to_string(c.value()) + "\n";
+    for (const auto &[name, count] : teams) {
+        const std::string prefix = "team." + name.value();
+        out += prefix + ".offered " + std::to_string(count.offered) + "\n";
+        out += prefix + ".admitted " + std::to_string(count.admitted) + "\n";
+        out += prefix + ".refused " + std::to_string(count.refused) + "\n";
+    }
     return out;
 }
 
--- a/lib/gateway/running_request.cpp
+++ b/lib/gateway/running_request.cpp
@@ -84,8 +84,10 @@
         if (const auto request = weak.lock())
             request->onClientGone();
     });
-    if (isAdmitted())
-        run();
+    if (!isAdmitted())
+        return;
+    m_state.teamCounts.addAdmitted(m_team);
+    run();
 }
 
 bool running_request::isAdmitted()
--- a/lib/gateway/running_request_answer.cpp
+++ b/lib/gateway/running_request_answer.cpp
@@ -216,12 +216,15 @@
     const refusal r = ownFailure();
     const bool notRun = r.kind == refusal_kind::NotRun;
     (notRun ? m_state.count.refused : m_state.count.failed).add();
+    if (notRun)
+        m_state.teamCounts.addRefused(m_team);
     deliver(m_state.dialect.writeRefusal(r), notRun ? "not_run" : "failed");
 }
 
 void running_request::refuse(duration retryAfter, const char *text)
 {
     m_state.count.refused.add();
+    m_state.teamCounts.addRefused(m_team);
     deliver(m_state.dialect.writeRefusal({refusal_kind::NotRun, retryAfter, text}), "refused");
 }
 
--- a/unittests/gateway/team_access_test.cpp
+++ b/unittests/gateway/team_access_test.cpp
@@ -1,4 +1,5 @@
 #include "gateway_fixture.h"
+#include "lib/gateway/metrics_text.h"
 #include "lib/gateway/team_directory.h"
 
 #include <gmock/gmock.h>
@@ -127,6 +128,24 @@
     EXPECT_EQ(statusOf(sendWithKey("/one/", "r3", goldKey)), 200);
 }
 
+// Guards against counts that mix teams up, and against a page that grows with their number.
+TEST_F(team_access_test, countsTheRequestsOfEachTeam)
+{
+    startWith(1, std::vector<team_ptr>{makeTeam("gold", {goldKey}),
+                                       makeTeam("north", {northKey}, {region_id("nowhere")})});
+    for (int i = 0; i < 3; ++i)
+        sendWithKey("/one/", "g" + std::to_string(i), goldKey);
+    sendWithKey("/one/", "n1", northKey);
+    sendWithKey("/one/", "u1", "key-of-nobody");
+    EXPECT_EQ(metricsText(counter_set(), gate.busiestTeams(20)),
+              "team.gold.offered 3\nteam.gold.admitted 3\nteam.gold.refused 0\n"
+              "team.north.offered 1\nteam.north.admitted 1\nteam.north.refused 1\n");
+    EXPECT_EQ(gate.busiestTeams(1).size(), 1U);
+    startWith(2, std::vector<team_ptr>{makeTeam("north", {northKey})});
+    ASSERT_EQ(gate.busiestTeams(20).size(), 1U);
+    EXPECT_EQ(gate.busiestTeams(20).front().first, team_name("north"));
+}
+
 // Guards against keys in logs.
 TEST_F(team_access_test, logsNoKey)
 {
