--- a/lib/gateway/running_request.cpp
+++ b/lib/gateway/running_request.cpp
@@ -38,6 +38,7 @@
                                  std::shared_ptr<http_responder> client)
     : m_state(state)
     , m_route(std::move(r))
+    , m_team(identity.team)
     , m_rank(identity.team && identity.team->rank ? *identity.team->rank : m_route->rank)
     , m_homes(*m_route, identity.team.get(), state.options.regions)
     , m_admission(state.admissionOf(*m_route))
@@ -105,8 +106,10 @@
 void running_request::start()
 {
     const auto self = shared_from_this();
-    if (isAdmitted())
-        run();
+    if (!isAdmitted())
+        return;
+    m_state.teamCounts.addAdmitted(m_team);
+    run();
 }
 
 void running_request::onAllotment(const allotment_decision &decision)
@@ -123,6 +126,7 @@
     if (decision.verdict == allotment_verdict::OverLimit)
         m_state.count.overAllotment.add();
     m_state.count.refused.add();
+    m_state.teamCounts.addRefused(m_team);
     deliver(m_state.dialect.writeRefusal(allotmentRefusal(decision)),
             allotmentRefusalReason(decision));
 }
@@ -150,7 +154,8 @@
         return true;
     const duration work = m_state.workOf(*m_route).onIdleServers();
     const time_point now = m_state.loop.now();
-    if (m_admission->admit(m_rank, work, m_state.random.fraction(), now))
+    const team_name team = m_team ? m_team->name : team_name();
+    if (m_admission->admit(m_rank, team, work, m_state.random.fraction(), now))
         return true;
     m_trace.add(now, "not_admitted", "", "", toMilliseconds(m_admission->queueing()));
     refuse(m_admission->retryAfter(m_state.random.fraction()),
