--- a/include/peridotwheel/gateway/route.h
+++ b/include/peridotwheel/gateway/route.h
@@ -99,6 +99,8 @@
     std::optional<class_rank> rank;
     /// Absent if the team is not limited.
     std::optional<rate_allotment> allotment;
+    /// A burst without a rate has no effect; kept for the check of a configuration.
+    bool hasBurstWithoutRate = false;
     home_regions homes;
 };
 
