Raise the share of new and recovered servers by pace

Cause: an instance that has no measurement of a server prefers it to all others, so that a fleet sends its whole load to a server that has just started or is back from an evacuation.

Placement gives the server this part of an equal share unless the others are much slower or do not answer.

--- a/include/peridotwheel/gateway/backend_server.h
+++ b/include/peridotwheel/gateway/backend_server.h
@@ -6,6 +6,7 @@
 #include "peridotwheel/gateway/placement.h"
 #include "peridotwheel/gateway/server_health.h"
 #include "peridotwheel/gateway/server_limit.h"
+#include "peridotwheel/gateway/server_pace.h"
 #include "peridotwheel/gateway/wire_dialect.h"
 #include "peridotwheel/support/event_loop.h"
 
@@ -115,6 +116,10 @@
         /// Called when the server needs frequent maintenance, until `endBusyPeriod` returns true:
         /// it has attempts or opens a connection, or its health is to be checked.
         std::function<void(backend_server &)> onBusy;
+        /// Called when the pace of a server begins and when it has ended.
+        std::function<void(const backend_server &, bool begins)> onPaceChanged;
+        /// Whether servers are paced at all.
+        bool pacesServers = true;
     };
 
     backend_server(environment env, backend_record record, std::string healthCheckPath,
@@ -154,6 +159,12 @@
     /// continue.
     void drain();
     bool isDraining() const { return m_isDraining || m_record.draining; }
+    /// Begins the pace of a server that is new to this instance.
+    void beginPace() { beginPace(server_pace::minShare); }
+    /// Returns whether the server gets a part of its usual first attempts only.
+    bool isPaced() const { return m_pace.isActive(); }
+    /// Returns the part of its usual first attempts that the server gets, from 0 to 1.
+    double paceShare() const { return m_pace.share(m_env.loop.now()); }
 
     placement_candidate candidate() const;
     /// Returns the time until this instance may send a request, which is zero unless the server
@@ -225,6 +236,10 @@
     void onLimitChanged();
     void updateLimitShare();
     void setColdFor(duration left);
+    void beginPace(double share);
+    /// Reports a reply of the server to its pace; \p isTrouble tells whether it is a sign of a
+    /// queue or of a failure.
+    void recordPace(bool isTrouble, time_point now);
     /// Starts or ends the limit for cold servers.
     void updateColdLimit();
     /// Returns the time until the server's limits allow a request that waits behind \p ahead
@@ -257,6 +272,11 @@
     /// Whether the last connection ended unused, and no attempt was submitted since.
     bool m_endedUnused = false;
     time_point m_coldUntil{};
+    server_pace m_pace;
+    /// Whether a pace has begun; from then on the server is used as it was measured to be, not as
+    /// it states to be.
+    bool m_wasPaced = false;
+    time_point m_suspectSince{};
     /// Until then the server wants no requests from this instance.
     time_point m_heldOffUntil{};
     time_point m_connectAfter{};
--- a/include/peridotwheel/gateway/gateway.h
+++ b/include/peridotwheel/gateway/gateway.h
@@ -40,6 +40,8 @@
     std::size_t maxConcurrentRequests = 2048;
     /// Attempts still in flight this long after their caller has disconnected are aborted.
     duration abandonedAttemptGrace = milliseconds(250);
+    /// Whether new and recovered servers get a rising share of their usual first attempts.
+    bool pacesServers = true;
     /// Random number that callers cannot know.
     std::uint64_t secret = 0;
 };
--- a/include/peridotwheel/gateway/placement.h
+++ b/include/peridotwheel/gateway/placement.h
@@ -20,6 +20,10 @@
     bool isUsable = true;
     /// Whether the server was started recently and is still slow.
     bool isCold = false;
+    /// Whether the server's pace leaves the attempt to other servers, or claims it for the server,
+    /// if these are about as quick.
+    bool isDeferred = false;
+    bool isInvited = false;
     /// Whether an idle connection is available now.
     bool hasIdleConnection = true;
     /// Whether another connection may be opened now.
@@ -54,6 +58,8 @@
 {
     std::optional<placement> best;
     std::optional<placement> alternative;
+    /// Whether `best` was preferred to a quicker server because that one is deferred.
+    bool wasDeferred = false;
 };
 
 /// Returns how long a server with \p roundTrip and service time \p work may be silent in normal
@@ -68,13 +74,20 @@
 placement estimatePlacement(const placement_candidate &candidate, duration work, time_point now);
 
 /// Returns the usable and reachable candidates with the least and the next expected time. A likely
-/// unresponsive server is in effect chosen only if all of them are.
+/// unresponsive server is in effect chosen only if all of them are. A deferred server is the best
+/// choice only if every other one takes notably longer, and an invited one unless another one is
+/// notably quicker. Both may be the alternative as any other server.
 ///
 /// Keeps the latency of each request low although servers may pause, slow down, stop answering,
 /// fail part of their requests, or be far away.
 placement_choice chooseServers(const std::vector<placement_candidate> &candidates, duration work,
                                time_point now);
 
+/// Returns the share of the first attempts that the server at \p index gets if all servers are
+/// equally quick: an equal part if it is among the nearest ones of those that answer, otherwise 0.
+double usualShare(const std::vector<placement_candidate> &candidates, std::size_t index,
+                  duration work);
+
 /// Returns the best choice of `chooseServers`.
 std::optional<placement> chooseServer(const std::vector<placement_candidate> &candidates,
                                       duration work, time_point now);
--- a/include/peridotwheel/gateway/server_health.h
+++ b/include/peridotwheel/gateway/server_health.h
@@ -4,6 +4,7 @@
 #include "peridotwheel/gateway/server_report.h"
 #include "peridotwheel/support/units.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <utility>
 #include <vector>
@@ -40,6 +41,8 @@
     void onUnreachable(time_point now);
     /// Records a sign of life, such as an answered health check; clears the suspicion.
     void onHealthy(time_point now);
+    /// Discards the measured slowness after the server has kept its time for a while.
+    void forgetSlowness() { m_slowness = std::min(m_slowness, 1.0); }
     /// Sets what other instances measured recently; replaces the previous hint.
     void setHint(const server_hint &hint, time_point now);
     const server_hint &hint() const { return m_hint; }
--- a/lib/gateway/backend_server.cpp
+++ b/lib/gateway/backend_server.cpp
@@ -28,6 +28,14 @@
 constexpr duration unneededAfter = seconds(5);
 /// The limit of a cold server ends with its coldness, of which it or the store informs.
 constexpr duration coldLimitLifetime = std::chrono::hours(24);
+/// A notice of coldness that adds less than this is the end of the present coldness.
+constexpr duration minColdExtension = milliseconds(200);
+/// A server that was silent for less was probably paused, and has kept its caches.
+constexpr duration shortSilence = seconds(1);
+/// Multiple of the service time, and an allowance for the scheduling of a process with a small
+/// share of a core, above which a reply is a sign of a queue. The usual variation stays below.
+constexpr int queueingWorkFactor = 2;
+constexpr duration queueingSlack = milliseconds(15);
 /// Interval and timeout of the health checks of a suspected server.
 constexpr duration checkInterval = milliseconds(300);
 constexpr duration checkTimeout = milliseconds(700);
@@ -113,6 +121,8 @@
     const auto self = shared_from_this();
     if (isEvacuated)
         failWaiting();
+    else
+        beginPace();
 }
 
 void backend_server::setColdLimit(std::optional<request_rate> limit)
@@ -123,10 +133,32 @@
 
 void backend_server::setColdFor(duration left)
 {
-    m_coldUntil = m_env.loop.now() + left;
+    const time_point now = m_env.loop.now();
+    if (now >= m_coldUntil && left >= minColdExtension)
+        beginPace(server_pace::minShare);
+    m_coldUntil = now + left;
     updateColdLimit();
 }
 
+void backend_server::beginPace(double share)
+{
+    if (!m_env.pacesServers)
+        return;
+    m_wasPaced = true;
+    const bool wasActive = m_pace.isActive();
+    m_pace.begin(share, m_env.loop.now());
+    if (!wasActive && m_env.onPaceChanged)
+        m_env.onPaceChanged(*this, true);
+}
+
+void backend_server::recordPace(bool isTrouble, time_point now)
+{
+    if (isTrouble)
+        m_pace.onTrouble(now);
+    else
+        m_pace.onReplyInTime(now);
+}
+
 void backend_server::updateColdLimit()
 {
     const time_point now = m_env.loop.now();
@@ -167,7 +199,7 @@
     placement_candidate c;
     c.health = &m_health;
     c.isUsable = !wantsNoRequests() && m_maxConnections > 0;
-    c.isCold = now < m_coldUntil;
+    c.isCold = now < m_coldUntil && !m_wasPaced;
     c.hasIdleConnection = idleSlot(false) != nullptr;
     c.canConnect = mayOpen();
     c.recentlyRefused = m_connectBackoff > duration::zero();
@@ -371,8 +403,11 @@
             continue;
         const bool wasSuspect = m_health.isSuspect();
         a->isOver = true;
-        m_health.onAbandoned(a->sentAt, toleratedSilence(m_health.roundTrip(), a->spec.work),
-                             m_env.loop.now());
+        const time_point now = m_env.loop.now();
+        const duration tolerance = toleratedSilence(m_health.roundTrip(), a->spec.work);
+        m_health.onAbandoned(a->sentAt, tolerance, now);
+        if (now - a->sentAt > tolerance)
+            m_pace.onTrouble(now);
         reportSuspicionChange(wasSuspect);
         remove(*s);
         return;
@@ -456,6 +491,13 @@
         return m_health.onAbandoned(a.sentAt, duration::max(), now);
     if (result.probablyRefused)
         return m_health.onAbandoned(a.sentAt, duration::max(), now);
+    if (m_pace.isActive()) {
+        const duration inTime =
+                m_health.roundTrip() + queueingWorkFactor * a.spec.work + queueingSlack;
+        const bool isAnswer =
+                result.end == attempt_end::Reply && result.verdict == reply_verdict::Answer;
+        recordPace(!isAnswer || now - a.sentAt > inTime, now);
+    }
     if (result.end == attempt_end::MayHaveRun)
         return m_health.onFailed(a.sentAt, now);
     switch (result.verdict) {
@@ -603,8 +645,15 @@
 {
     if (m_health.isSuspect())
         beginBusyPeriod();
-    if (wasSuspect != m_health.isSuspect())
-        m_env.onStateChanged(*this, wasSuspect ? "server_answers_again" : "server_suspected");
+    if (wasSuspect == m_health.isSuspect())
+        return;
+    const time_point now = m_env.loop.now();
+    if (!wasSuspect)
+        m_suspectSince = now;
+    else
+        beginPace(now - m_suspectSince < shortSilence ? server_pace::shortAbsenceShare
+                                                      : server_pace::minShare);
+    m_env.onStateChanged(*this, wasSuspect ? "server_answers_again" : "server_suspected");
 }
 
 void backend_server::applyNotice(const http_reply &reply)
@@ -654,6 +703,7 @@
 {
     const time_point now = m_env.loop.now();
     m_health.setHint(hint, now);
+    m_pace.onHint(hint.isUnusual(), now);
     if (m_limit.onHint(hint.limit, now))
         onLimitChanged();
 }
@@ -664,6 +714,11 @@
     const time_point now = m_env.loop.now();
     if (m_coldLimit.limit(now) && now >= m_coldUntil)
         updateColdLimit();
+    if (m_pace.endIfSteady(now)) {
+        m_health.forgetSlowness();
+        if (m_env.onPaceChanged)
+            m_env.onPaceChanged(*this, false);
+    }
     endOverdueAttempts(now);
     closeStale(now);
     checkHealth(now);
--- a/lib/gateway/gateway_state.cpp
+++ b/lib/gateway/gateway_state.cpp
@@ -30,6 +30,9 @@
 constexpr double usableConnectionFraction = 0.9;
 /// Admission is logged as restricted when the share of admitted queries falls to this value.
 constexpr double restrictedAdmissionShare = 0.9;
+/// Servers that appear within this time after the first list are as old as those in it: a list from
+/// another instance or from a store that is being filled may be incomplete.
+constexpr duration knownServersTime = seconds(5);
 /// Least time after which a server's limit lapses that it does not name again. Instances with a
 /// share get an answer about once a second.
 constexpr duration minLimitLifetime = seconds(3);
@@ -59,6 +62,9 @@
     , missingAwaited(set.at("gateway.parts_missing.awaited"))
     , shardsWithoutSecondServer(set.at("gateway.shards_without_second_server"))
     , evacuatedDataCentres(set.at("gateway.evacuated_data_centres"))
+    , pacesBegun(set.at("gateway.server_paces.begun"))
+    , pacesEnded(set.at("gateway.server_paces.ended"))
+    , attemptsDeferred(set.at("gateway.attempts_deferred"))
     , openedForAttempts(set.at("gateway.connections_opened.attempts"))
     , openedInAdvance(set.at("gateway.connections_opened.in_advance"))
     , openedForHealthChecks(set.at("gateway.connections_opened.health_checks"))
@@ -167,7 +173,16 @@
             },
             scaled(minLimitLifetime, 1 + random.fraction()),
             [this](connection_event event) { count.onConnection(event); },
-            [this](backend_server &server) { busyServers.push_back(server.shared_from_this()); }};
+            [this](backend_server &server) { busyServers.push_back(server.shared_from_this()); },
+            [this](const backend_server &server, bool begins) {
+                (begins ? count.pacesBegun : count.pacesEnded).add();
+                log.decision(begins ? "server_pace_begun" : "server_pace_ended")
+                        .add("server", server.record().id.value())
+                        .add("service", server.record().service.value())
+                        .add("share_permille",
+                             static_cast<std::int64_t>(1000 * server.paceShare()));
+            },
+            options.pacesServers};
     auto server = std::make_shared<backend_server>(std::move(env), record,
                                                    healthCheckPathOf(record.service),
                                                    assumedRoundTrip(record.dataCentre));
@@ -176,6 +191,10 @@
 
 void gateway_state::setServers(const backend_map &records)
 {
+    const time_point now = loop.now();
+    if (!m_firstServersAt && !records.empty())
+        m_firstServersAt = now;
+    const bool areKnown = !m_firstServersAt || now - *m_firstServersAt < knownServersTime;
     std::vector<backend_server_ptr> removed;
     for (auto it = servers.begin(); it != servers.end();) {
         const backend_record &old = it->second->record();
@@ -212,6 +231,8 @@
             continue;
         }
         server = makeServer(record);
+        if (!areKnown)
+            server->beginPace();
         updateShare(*server);
         server->setEvacuated(evacuated.count(record.dataCentre) != 0);
         groupOf(record.service)->servers.push_back(server);
--- a/lib/gateway/gateway_state.h
+++ b/lib/gateway/gateway_state.h
@@ -16,6 +16,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_set>
 #include <vector>
@@ -67,6 +68,9 @@
     counter &missingAwaited;
     counter &shardsWithoutSecondServer;
     counter &evacuatedDataCentres;
+    counter &pacesBegun;
+    counter &pacesEnded;
+    counter &attemptsDeferred;
     counter &openedForAttempts;
     counter &openedInAdvance;
     counter &openedForHealthChecks;
@@ -167,6 +171,8 @@
 
     std::uint64_t m_nextQuery = 1;
     time_point m_startedAt;
+    /// When this instance got its first list of servers.
+    std::optional<time_point> m_firstServersAt;
     time_point m_lastTick;
     unsigned m_ticks = 0;
     /// The group that was maintained last; a round goes by the order of names.
--- a/lib/gateway/placement.cpp
+++ b/lib/gateway/placement.cpp
@@ -25,6 +25,14 @@
 /// Added before a connection attempt to a server that recently refused one, since it will probably
 /// refuse again.
 constexpr duration refusalCost = milliseconds(60);
+/// Difference of expected times, in addition to the service time, that overrides the pace of a
+/// server. It exceeds the round trip to another region and is well below the targets of requests,
+/// so that no attempt waits for servers with queues while a deferred one is free.
+constexpr duration paceAdvantage = milliseconds(50);
+/// Round trips that differ by less than this and a part of the service time make no difference next
+/// to the variation of the service time.
+constexpr duration equalRoundTrip = milliseconds(1);
+constexpr int equalWorkDivisor = 4;
 /// Multiple of the service time on a server that has just started.
 constexpr double coldWorkFactor = 1.6;
 
@@ -81,19 +89,55 @@
                                time_point now)
 {
     placement_choice choice;
+    // The advantages are given to the best choice only. That of an invited server includes its
+    // slowness, of which it would not be known without requests whether it has ended.
+    duration bestRank{};
+    std::optional<placement> quickest;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (!candidates[i].isUsable || !isReachable(candidates[i]))
+        const placement_candidate &candidate = candidates[i];
+        if (!candidate.isUsable || !isReachable(candidate))
             continue;
-        placement p = estimatePlacement(candidates[i], work, now);
+        placement p = estimatePlacement(candidate, work, now);
         p.index = i;
-        if (!choice.best || p.expectedTime < choice.best->expectedTime)
-            choice.alternative = std::exchange(choice.best, p);
-        else if (!choice.alternative || p.expectedTime < choice.alternative->expectedTime)
-            choice.alternative = p;
+        duration rank = p.expectedTime;
+        if (candidate.isDeferred)
+            rank += paceAdvantage + work;
+        else if (candidate.isInvited)
+            rank -= paceAdvantage + scaled(work, std::max(candidate.health->slowness(now), 1.0));
+        if (!quickest || p.expectedTime < quickest->expectedTime)
+            quickest = p;
+        const bool isBest = !choice.best || rank < bestRank;
+        std::optional<placement> other = p;
+        if (isBest) {
+            bestRank = rank;
+            other = std::exchange(choice.best, p);
+        }
+        if (other &&
+            (!choice.alternative || other->expectedTime < choice.alternative->expectedTime))
+            choice.alternative = other;
     }
+    choice.wasDeferred = choice.best && candidates[quickest->index].isDeferred &&
+                         quickest->index != choice.best->index;
     return choice;
 }
 
+double usualShare(const std::vector<placement_candidate> &candidates, std::size_t index,
+                  duration work)
+{
+    const duration roundTrip = candidates[index].health->roundTrip();
+    const duration tolerance = equalRoundTrip + work / equalWorkDivisor;
+    unsigned equal = 1;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const placement_candidate &other = candidates[i];
+        if (i == index || !other.isUsable || !isReachable(other) || other.health->isSuspect())
+            continue;
+        if (other.health->roundTrip() + tolerance < roundTrip)
+            return 0;
+        equal += other.health->roundTrip() <= roundTrip + tolerance ? 1 : 0;
+    }
+    return 1.0 / equal;
+}
+
 std::optional<placement> chooseServer(const std::vector<placement_candidate> &candidates,
                                       duration work, time_point now)
 {
--- a/lib/gateway/running_request.cpp
+++ b/lib/gateway/running_request.cpp
@@ -166,13 +166,11 @@
     const time_point now = m_state.loop.now();
     std::size_t likelyUnresponsive = 0;
     for (part &p : m_parts) {
-        p.first = choosePlacement(p, false);
+        p.first = chooseFirstPlacement(p);
         const auto &best = p.first.best;
-        const bool tooLong = best && !best->likelyUnresponsive &&
-                             now + timeNeeded(*best) > m_times.deadline && !isGather();
-        // A part that may not be sent in time would delay the answer to the target for nothing.
-        const bool isLimited = best && isGather() && now + best->sendDelay >= m_times.targetEnd;
-        if (!best || tooLong || isLimited)
+        const bool tooLong = best && isTooLate(*best);
+        const bool limited = best && isLimited(*best);
+        if (!best || tooLong || limited)
             giveUp(p);
         likelyUnresponsive += isPending(p) && p.isLikelyUnresponsive() ? 1 : 0;
         if (p.isGivenUp || p.isLikelyUnresponsive()) {
@@ -181,7 +179,7 @@
                 event = "no_server";
             else if (tooLong)
                 event = "wait_too_long";
-            else if (isLimited)
+            else if (limited)
                 event = "servers_limited";
             m_trace.add(now, event, p.group->name.value(), "",
                         static_cast<double>(p.group->servers.size()));
@@ -201,6 +199,18 @@
     return true;
 }
 
+bool running_request::isTooLate(const placement &best) const
+{
+    return !best.likelyUnresponsive && !isGather() &&
+           m_state.loop.now() + timeNeeded(best) > m_times.deadline;
+}
+
+bool running_request::isLimited(const placement &best) const
+{
+    // A part that may not be sent in time would delay the answer to the target for nothing.
+    return isGather() && m_state.loop.now() + best.sendDelay >= m_times.targetEnd;
+}
+
 duration running_request::timeNeeded(const placement &best) const
 {
     // While the process stops, the answer cannot come later than expected, so the variation of the
--- a/lib/gateway/running_request.h
+++ b/lib/gateway/running_request.h
@@ -104,6 +104,16 @@
     /// Chooses servers for the next attempt and a later second one; \p allowTried includes servers
     /// that were already tried.
     placement_choice choosePlacement(const part &p, bool allowTried) const;
+    placement_choice choosePlacement(const part &p, bool allowTried, bool isPaced) const;
+    /// Chooses servers for the first attempt, with paced servers in their share of the cases.
+    placement_choice chooseFirstPlacement(const part &p) const;
+    /// Decides by their pace which servers are preferred or avoided for a first attempt.
+    void applyPace(const service_group &group, std::vector<placement_candidate> &candidates,
+                   duration work) const;
+    /// Returns whether an attempt at \p best can probably not be answered in time.
+    bool isTooLate(const placement &best) const;
+    /// Returns whether \p best may send too late for the target of a gather.
+    bool isLimited(const placement &best) const;
     /// Sends an attempt for a part. Returns false if no server is available.
     bool sendAttempt(std::size_t index, attempt_kind kind);
     bool sendAttempt(std::size_t index, attempt_kind kind, const placement_choice &choice);
--- a/lib/gateway/running_request_retry.cpp
+++ b/lib/gateway/running_request_retry.cpp
@@ -19,7 +19,41 @@
 
 } // namespace
 
+placement_choice running_request::chooseFirstPlacement(const part &p) const
+{
+    const auto &servers = p.group->servers;
+    if (std::none_of(servers.begin(), servers.end(), [](const auto &s) { return s->isPaced(); }))
+        return choosePlacement(p, false);
+    const placement_choice paced = choosePlacement(p, false, true);
+    if (!paced.best || isTooLate(*paced.best) || isLimited(*paced.best))
+        return choosePlacement(p, false);
+    if (paced.wasDeferred)
+        m_state.count.attemptsDeferred.add();
+    return paced;
+}
+
+void running_request::applyPace(const service_group &group,
+                                std::vector<placement_candidate> &candidates, duration work) const
+{
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        placement_candidate &c = candidates[i];
+        if (!c.isUsable || !group.servers[i]->isPaced())
+            continue;
+        const double share = group.servers[i]->paceShare();
+        const double usual = usualShare(candidates, i, work);
+        const bool isIncluded = m_state.random.fraction() < share * (usual > 0 ? usual : 1);
+        c.isInvited = isIncluded && usual > 0;
+        c.isDeferred = !isIncluded;
+    }
+}
+
 placement_choice running_request::choosePlacement(const part &p, bool allowTried) const
+{
+    return choosePlacement(p, allowTried, false);
+}
+
+placement_choice running_request::choosePlacement(const part &p, bool allowTried,
+                                                  bool isPaced) const
 {
     std::vector<placement_candidate> candidates;
     candidates.reserve(p.group->servers.size());
@@ -32,7 +66,10 @@
                      m_homes.allows(server->record().dataCentre);
         candidates.push_back(c);
     }
-    return chooseServers(candidates, m_state.workOf(*m_route).typical(), m_state.loop.now());
+    const duration work = m_state.workOf(*m_route).typical();
+    if (isPaced)
+        applyPace(*p.group, candidates, work);
+    return chooseServers(candidates, work, m_state.loop.now());
 }
 
 bool running_request::sendAttempt(std::size_t index, attempt_kind kind)
--- a/unittests/gateway/fake_backends.cpp
+++ b/unittests/gateway/fake_backends.cpp
@@ -106,6 +106,27 @@
     return reply;
 }
 
+std::optional<time_point> fake_backends::server::endOf(duration requestWork, time_point now)
+{
+    const auto timeAt = [&](time_point begin) {
+        return slowness ? scaled(requestWork, slowness(begin)) : requestWork;
+    };
+    if (slots == 0)
+        return now + timeAt(now);
+    m_freeAt.resize(slots);
+    while (!m_begins.empty() && m_begins.front() <= now)
+        m_begins.pop_front();
+    if (m_begins.size() >= maxQueue)
+        return std::nullopt;
+    const auto slot = std::min_element(m_freeAt.begin(), m_freeAt.end());
+    const time_point begin = std::max(*slot, now);
+    if (begin > now)
+        m_begins.push_back(begin);
+    longestQueue = std::max(longestQueue, m_begins.size());
+    *slot = begin + timeAt(begin);
+    return *slot;
+}
+
 class fake_backends::connection : public client_connection
 {
 public:
@@ -168,7 +189,15 @@
     void arrive()
     {
         const bool isCheck = m_id == "health";
-        const server_behaviour how = behaviourFor(m_id);
+        server_behaviour how = behaviourFor(m_id);
+        const time_point now = m_loop.now();
+        std::optional<time_point> end;
+        if (isCheck)
+            end = now + m_server.work;
+        else if (how != server_behaviour::Reject && how != server_behaviour::WrongServer)
+            end = m_server.endOf(variedWork(), now);
+        if (!end && how == server_behaviour::Answer)
+            how = server_behaviour::Reject;
         if (!isCheck) {
             m_server.arrived.push_back(m_id);
             m_server.arrivedAt.push_back(m_loop.now());
@@ -188,8 +217,16 @@
         }
         if (how == server_behaviour::Silent)
             return;
-        const duration work = runs ? m_server.work : duration::zero();
-        m_event = m_loop.schedule(work + m_server.distance / 2, [this, how] { answer(how); });
+        m_event = m_loop.schedule(end.value_or(now) - now + m_server.distance / 2,
+                                  [this, how] { answer(how); });
+    }
+
+    /// Returns the work of the request, which varies by a half where requests queue.
+    duration variedWork() const
+    {
+        constexpr double steps = 1000;
+        const double draw = static_cast<double>(stableHash(m_id) % 1000) / steps;
+        return m_server.slots == 0 ? m_server.work : scaled(m_server.work, 0.5 + draw);
     }
 
     server_behaviour behaviourFor(const std::string &id) const
--- a/unittests/gateway/fake_backends.h
+++ b/unittests/gateway/fake_backends.h
@@ -6,9 +6,11 @@
 #include "peridotwheel/http/client_connection.h"
 #include "peridotwheel/support/manual_loop.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -60,6 +62,13 @@
         double disturbedShare = 1;
         duration distance = milliseconds(2);
         duration work = milliseconds(5);
+        /// Requests that the server runs concurrently, further ones wait in FIFO order; 0 means
+        /// all.
+        unsigned slots = 0;
+        /// Requests that may wait; the server rejects further ones.
+        std::size_t maxQueue = 1000;
+        /// Returns the factor of the work of a request that begins at a time.
+        std::function<double(time_point)> slowness;
         /// Connections are refused.
         bool unreachable = false;
         /// Connections beyond this number are accepted and reset after `resetAfter`.
@@ -81,6 +90,16 @@
         unsigned openConnections = 0;
         /// Most connections that were open at once.
         unsigned mostConnections = 0;
+        /// Most requests that waited at once.
+        std::size_t longestQueue = 0;
+
+        /// Returns when a request that arrives at \p now is done, or nothing if the queue is full.
+        std::optional<time_point> endOf(duration requestWork, time_point now);
+
+    private:
+        std::vector<time_point> m_freeAt;
+        /// Begins of the waiting requests.
+        std::deque<time_point> m_begins;
     };
 
     explicit fake_backends(manual_loop &loop)
