Take overdue replies as a sign of a queue, and old failures for old

Cause: a reply that waits in a queue lowered the pace of its server only when it came.

Change: an attempt without a reply for longer than the usual time lowers the pace. Failures that were hinted when the pace began do not count until their hint has ended.

--- a/include/peridotwheel/gateway/backend_server.h
+++ b/include/peridotwheel/gateway/backend_server.h
@@ -237,9 +237,10 @@
     void updateLimitShare();
     void setColdFor(duration left);
     void beginPace(double share);
-    /// Reports a reply of the server to its pace; \p isTrouble tells whether it is a sign of a
-    /// queue or of a failure.
-    void recordPace(bool isTrouble, time_point now);
+    /// Returns whether the attempt has lasted so long that the server probably has a queue.
+    bool isSlow(const backend_attempt &a, time_point now) const;
+    /// Lowers the pace of a server that owes a reply, and ends a pace that is over.
+    void maintainPace(time_point now);
     /// Starts or ends the limit for cold servers.
     void updateColdLimit();
     /// Returns the time until the server's limits allow a request that waits behind \p ahead
--- a/include/peridotwheel/gateway/server_pace.h
+++ b/include/peridotwheel/gateway/server_pace.h
@@ -1,6 +1,7 @@
 #ifndef PERIDOTWHEEL_GATEWAY_SERVER_PACE_H
 #define PERIDOTWHEEL_GATEWAY_SERVER_PACE_H
 
+#include "peridotwheel/gateway/server_report.h"
 #include "peridotwheel/support/units.h"
 
 #include <optional>
@@ -20,8 +21,9 @@
     /// Share at the beginning for a server that has lost little, such as after a short silence.
     static constexpr double shortAbsenceShare = 0.5;
 
-    /// Begins a pace with \p share, or lowers the present share to it.
-    void begin(double share, time_point now);
+    /// Begins a pace with \p share, or lowers the present share to it. The failures in \p hint
+    /// were measured before; they do not count until a hint without failures has ended them.
+    void begin(double share, const server_hint &hint, time_point now);
     /// Returns whether a pace has begun and has not ended; the share is 1 otherwise.
     bool isActive() const { return m_isActive; }
     /// Returns the share, from `minShare` to 1.
@@ -30,8 +32,8 @@
     void onReplyInTime(time_point now);
     /// Records a sign of a queue: a slow reply, a rejection, or a failed attempt.
     void onTrouble(time_point now);
-    /// Records whether other instances measured the server to be slow or failing.
-    void onHint(bool isUnusual, time_point now);
+    /// Records what other instances measured.
+    void onHint(const server_hint &hint, time_point now);
     /// Ends a pace that has stayed at the full share for a while. Returns whether it ended now.
     bool endIfSteady(time_point now);
 
@@ -47,6 +49,7 @@
     bool m_isConfirmed = false;
     time_point m_risesFrom{};
     std::optional<time_point> m_loweredAt;
+    bool m_areFailuresOld = false;
     /// Until then other instances' measurements speak against a rise.
     time_point m_hintedUntil{};
 };
--- a/lib/gateway/backend_server.cpp
+++ b/lib/gateway/backend_server.cpp
@@ -146,17 +146,31 @@
         return;
     m_wasPaced = true;
     const bool wasActive = m_pace.isActive();
-    m_pace.begin(share, m_env.loop.now());
+    m_pace.begin(share, m_health.hint(), m_env.loop.now());
     if (!wasActive && m_env.onPaceChanged)
         m_env.onPaceChanged(*this, true);
 }
 
-void backend_server::recordPace(bool isTrouble, time_point now)
+bool backend_server::isSlow(const backend_attempt &a, time_point now) const
 {
-    if (isTrouble)
+    return now - a.sentAt > m_health.roundTrip() + queueingWorkFactor * a.spec.work + queueingSlack;
+}
+
+void backend_server::maintainPace(time_point now)
+{
+    if (!m_pace.isActive())
+        return;
+    // A reply that waits in a queue comes too late to be its first sign.
+    const bool isLate = std::any_of(m_slots.begin(), m_slots.end(), [&](const auto &s) {
+        return s->attempt && isSlow(*s->attempt, now);
+    });
+    if (isLate)
         m_pace.onTrouble(now);
-    else
-        m_pace.onReplyInTime(now);
+    if (!m_pace.endIfSteady(now))
+        return;
+    m_health.forgetSlowness();
+    if (m_env.onPaceChanged)
+        m_env.onPaceChanged(*this, false);
 }
 
 void backend_server::updateColdLimit()
@@ -491,13 +505,12 @@
         return m_health.onAbandoned(a.sentAt, duration::max(), now);
     if (result.probablyRefused)
         return m_health.onAbandoned(a.sentAt, duration::max(), now);
-    if (m_pace.isActive()) {
-        const duration inTime =
-                m_health.roundTrip() + queueingWorkFactor * a.spec.work + queueingSlack;
-        const bool isAnswer =
-                result.end == attempt_end::Reply && result.verdict == reply_verdict::Answer;
-        recordPace(!isAnswer || now - a.sentAt > inTime, now);
-    }
+    const bool isAnswer =
+            result.end == attempt_end::Reply && result.verdict == reply_verdict::Answer;
+    if (isAnswer && !isSlow(a, now))
+        m_pace.onReplyInTime(now);
+    else
+        m_pace.onTrouble(now);
     if (result.end == attempt_end::MayHaveRun)
         return m_health.onFailed(a.sentAt, now);
     switch (result.verdict) {
@@ -703,7 +716,7 @@
 {
     const time_point now = m_env.loop.now();
     m_health.setHint(hint, now);
-    m_pace.onHint(hint.isUnusual(), now);
+    m_pace.onHint(hint, now);
     if (m_limit.onHint(hint.limit, now))
         onLimitChanged();
 }
@@ -714,11 +727,7 @@
     const time_point now = m_env.loop.now();
     if (m_coldLimit.limit(now) && now >= m_coldUntil)
         updateColdLimit();
-    if (m_pace.endIfSteady(now)) {
-        m_health.forgetSlowness();
-        if (m_env.onPaceChanged)
-            m_env.onPaceChanged(*this, false);
-    }
+    maintainPace(now);
     endOverdueAttempts(now);
     closeStale(now);
     checkHealth(now);
--- a/lib/gateway/server_pace.cpp
+++ b/lib/gateway/server_pace.cpp
@@ -28,13 +28,14 @@
 
 } // namespace
 
-void server_pace::begin(double share, time_point now)
+void server_pace::begin(double share, const server_hint &hint, time_point now)
 {
     restart(m_isActive ? std::min(share, this->share(now)) : share, now, now);
     m_isActive = true;
     m_isConfirmed = false;
     m_loweredAt.reset();
     m_hintedUntil = now;
+    m_areFailuresOld = hint.errorRate > 0;
 }
 
 void server_pace::restart(double share, time_point now, time_point resumeAt)
@@ -81,11 +82,12 @@
         lower(now, pauseAfterTrouble);
 }
 
-void server_pace::onHint(bool isUnusual, time_point now)
+void server_pace::onHint(const server_hint &hint, time_point now)
 {
     if (!m_isActive)
         return;
-    if (!isUnusual) {
+    m_areFailuresOld = m_areFailuresOld && hint.errorRate > 0;
+    if (hint.slowness <= 1 && (hint.errorRate <= 0 || m_areFailuresOld)) {
         m_hintedUntil = std::min(m_hintedUntil, now);
         return;
     }
--- a/unittests/gateway/server_pace_test.cpp
+++ b/unittests/gateway/server_pace_test.cpp
@@ -27,6 +27,9 @@
     duration relapsesAt{};
     /// Whether its entry states that it is cold.
     bool saysSo = false;
+    /// Round trip to the other servers; the one that joins has 2 ms.
+    duration othersDistance = milliseconds(2);
+    double queriesPerSecond = 600;
 };
 
 /// What callers and the server got after the join.
@@ -92,7 +95,7 @@
         pace_outcome out = summary();
         out.longestQueue = server.longestQueue;
         const auto &at = server.arrivedAt;
-        const auto wanted = static_cast<std::ptrdiff_t>(0.6 * queriesPerSecond / 3);
+        const auto wanted = static_cast<std::ptrdiff_t>(0.6 * m_scenario.queriesPerSecond / 3);
         for (time_point t = joined; t < joined + seconds(15); t += milliseconds(50)) {
             const auto first = std::lower_bound(at.begin(), at.end(), t);
             if (t < joined + m_scenario.warmAfter ||
@@ -105,8 +108,6 @@
     }
 
 private:
-    static constexpr double queriesPerSecond = 600;
-
     struct instance
     {
         instance(paced_fleet &fleet, const gateway_options &o)
@@ -163,7 +164,7 @@
         fake_backends::server &server = m_backends.at(port);
         server.slots = 4;
         server.work = milliseconds(10);
-        server.distance = milliseconds(2);
+        server.distance = port < 2 ? m_scenario.othersDistance : milliseconds(2);
         server.maxQueue = 200;
     }
 
@@ -171,7 +172,7 @@
     {
         constexpr duration step = milliseconds(1);
         for (duration elapsed{}; elapsed < length; elapsed += step) {
-            if (m_random.fraction() < queriesPerSecond / 1000)
+            if (m_random.fraction() < m_scenario.queriesPerSecond / 1000)
                 send();
             m_reports.run(m_fleet, m_loop.now());
             m_loop.advance(step);
@@ -270,19 +271,25 @@
 
 INSTANTIATE_TEST_SUITE_P(
         joins, server_pace_fleet,
-        testing::Values(pace_scenario{"inTime7", 7, 1, {}}, pace_scenario{"inTime300", 300, 1, {}},
-                        pace_scenario{"mild3s7", 7, 1.6, seconds(3), {}, true},
-                        pace_scenario{"mild3s300", 300, 1.6, seconds(3), {}, true},
-                        pace_scenario{"warm1s7", 7, 5, seconds(1)},
-                        pace_scenario{"warm1s300", 300, 5, seconds(1)},
-                        pace_scenario{"warm3s7", 7, 5, seconds(3)},
-                        pace_scenario{"warm3s300", 300, 5, seconds(3)},
-                        pace_scenario{"warm10s7", 7, 5, seconds(10)},
-                        pace_scenario{"warm10s300", 300, 5, seconds(10)},
-                        pace_scenario{"relapse7", 7, 5, seconds(1), seconds(4)},
-                        pace_scenario{"relapse300", 300, 5, seconds(1), seconds(4)},
-                        pace_scenario{"cold3s7", 7, 5, seconds(3), {}, true},
-                        pace_scenario{"cold3s300", 300, 5, seconds(3), {}, true}),
+        testing::Values(
+                pace_scenario{"inTime7", 7, 1, {}}, pace_scenario{"inTime300", 300, 1, {}},
+                pace_scenario{"mild3s7", 7, 1.6, seconds(3), {}, true},
+                pace_scenario{"mild3s300", 300, 1.6, seconds(3), {}, true},
+                pace_scenario{"warm1s7", 7, 5, seconds(1)},
+                pace_scenario{"warm1s300", 300, 5, seconds(1)},
+                pace_scenario{"warm3s7", 7, 5, seconds(3)},
+                pace_scenario{"warm3s300", 300, 5, seconds(3)},
+                pace_scenario{"warm10s7", 7, 5, seconds(10)},
+                pace_scenario{"warm10s300", 300, 5, seconds(10)},
+                pace_scenario{"near7", 7, 1, {}, {}, false, milliseconds(24), 250},
+                pace_scenario{"near300", 300, 1, {}, {}, false, milliseconds(24), 250},
+                pace_scenario{"nearWarm3s7", 7, 5, seconds(3), {}, false, milliseconds(24), 250},
+                pace_scenario{
+                        "nearWarm3s300", 300, 5, seconds(3), {}, false, milliseconds(24), 250},
+                pace_scenario{"relapse7", 7, 5, seconds(1), seconds(4)},
+                pace_scenario{"relapse300", 300, 5, seconds(1), seconds(4)},
+                pace_scenario{"cold3s7", 7, 5, seconds(3), {}, true},
+                pace_scenario{"cold3s300", 300, 5, seconds(3), {}, true}),
         [](const auto &info) { return info.param.name; });
 
 // Guards against a server that is left idle because an instance gets no replies from it.
@@ -290,7 +297,7 @@
 {
     server_pace pace;
     EXPECT_EQ(pace.share(start), 1);
-    pace.begin(server_pace::minShare, start);
+    pace.begin(server_pace::minShare, {}, start);
     EXPECT_EQ(pace.share(start), server_pace::minShare);
     EXPECT_LT(pace.share(start + seconds(1)), 0.3);
     EXPECT_EQ(pace.share(start + seconds(3)), 1);
@@ -303,7 +310,7 @@
 TEST(server_pace, reachesTheFullShareSoonerWithRepliesInTime)
 {
     server_pace pace;
-    pace.begin(server_pace::minShare, start);
+    pace.begin(server_pace::minShare, {}, start);
     pace.onReplyInTime(start + milliseconds(100));
     EXPECT_EQ(pace.share(start + seconds(2)), 1);
 }
@@ -312,7 +319,7 @@
 TEST(server_pace, fallsOnceForAQueueAndRisesAfterAReplyInTime)
 {
     server_pace pace;
-    pace.begin(0.8, start);
+    pace.begin(0.8, {}, start);
     for (int i = 0; i < 10; ++i)
         pace.onTrouble(start + milliseconds(i));
     EXPECT_DOUBLE_EQ(pace.share(start + milliseconds(900)), 0.4);
@@ -327,17 +334,30 @@
 TEST(server_pace, doesNotRiseAgainstHints)
 {
     server_pace pace;
-    pace.begin(server_pace::minShare, start);
+    pace.begin(server_pace::minShare, {}, start);
     time_point now = start;
     for (; now < start + seconds(5); now += milliseconds(400)) {
-        pace.onHint(true, now);
+        pace.onHint({5, 0, {}}, now);
         pace.onReplyInTime(now);
         EXPECT_EQ(pace.share(now + milliseconds(399)), server_pace::minShare);
     }
-    pace.onHint(false, now);
+    pace.onHint({}, now);
     EXPECT_EQ(pace.share(now + seconds(3)), 1);
 }
 
+// Guards against failures from before a server answered again that keep it idle.
+TEST(server_pace, ignoresFailuresFromBeforeItsBegin)
+{
+    const server_hint failing{1, 0.9, {}};
+    server_pace pace;
+    pace.begin(server_pace::minShare, failing, start);
+    pace.onHint(failing, start + seconds(1));
+    EXPECT_EQ(pace.share(start + seconds(3)), 1);
+    pace.onHint({}, start + seconds(3));
+    pace.onHint(failing, start + seconds(3));
+    EXPECT_EQ(pace.share(start + seconds(3)), 0.5);
+}
+
 namespace {
 
 /// A gateway whose nearest server of the service "plain" is new.
