--- a/include/peridotwheel/gateway/answer_policy.h
+++ b/include/peridotwheel/gateway/answer_policy.h
@@ -28,6 +28,8 @@
     duration roundTrip{};
     /// Expected time for the alternative beyond `work`.
     duration alternativeRoundTrip{};
+    /// Whether the alternative works on requests for notably longer than usual.
+    bool isAlternativeSlow = false;
 };
 
 /// Returns the time at which a second attempt (a hedged request) is sent if the first one has not
@@ -36,7 +38,8 @@
 /// It is late enough that most first attempts have been answered, since every extra attempt adds
 /// load, and early enough that the second attempt can be answered within the target. An alternative
 /// that needs most of the target, such as one in another region to which a connection has to be
-/// opened first, is used as early as possible. If the target can no longer be met, the usual wait
+/// opened first, is used as early as possible, unless it is slow itself: early requests would keep
+/// such a server from recovering. If the target can no longer be met, the usual wait
 /// applies: callers prefer a late answer to none.
 time_point secondAttemptTime(const second_attempt_input &input, const request_times &times);
 
--- a/include/peridotwheel/gateway/gateway.h
+++ b/include/peridotwheel/gateway/gateway.h
@@ -48,6 +48,8 @@
     /// An instance that does not know the evacuations yet sends nothing for this time after its
     /// start; absent if there are no evacuations.
     std::optional<duration> evacuateWithin;
+    /// Whether new and recovered servers get a rising share of their usual first attempts.
+    bool pacesServers = true;
     /// Random number that callers cannot know.
     std::uint64_t secret = 0;
 };
--- a/lib/gateway/answer_policy.cpp
+++ b/lib/gateway/answer_policy.cpp
@@ -29,7 +29,7 @@
     const time_point earliest = input.sentAt + input.roundTrip + minWait;
     if (latestUseful <= earliest) {
         const bool isInTime = earliest + input.alternativeRoundTrip + input.work <= times.targetEnd;
-        return isInTime ? std::min(delayed, earliest) : delayed;
+        return isInTime && !input.isAlternativeSlow ? std::min(delayed, earliest) : delayed;
     }
     return std::min(delayed, latestUseful);
 }
--- a/lib/gateway/backend_server.cpp
+++ b/lib/gateway/backend_server.cpp
@@ -32,6 +32,14 @@
 /// sent a second apart and travel for different times arrive within one second, which doubles the
 /// rate if many instances send in step.
 constexpr double usableColdRate = 0.9;
+/// A notice of coldness that adds less than this is the end of the present coldness.
+constexpr duration minColdExtension = milliseconds(200);
+/// A server that was silent for less was probably paused, and has kept its caches.
+constexpr duration shortSilence = seconds(1);
+/// Multiple of the service time, and an allowance for the scheduling of a process with a small
+/// share of a core, above which a reply is a sign of a queue. The usual variation stays below.
+constexpr int queueingWorkFactor = 2;
+constexpr duration queueingSlack = milliseconds(15);
 /// Interval and timeout of the health checks of a suspected server.
 constexpr duration checkInterval = milliseconds(300);
 constexpr duration checkTimeout = milliseconds(700);
@@ -87,8 +95,8 @@
     m_isDraining = isDraining();
     if (!isColdTimeNew)
         return;
-    m_coldUntil = std::max(m_coldUntil, m_env.loop.now() + record.coldRemaining);
-    updateColdLimit();
+    const duration left = m_coldUntil - m_env.loop.now();
+    setColdFor(std::max(left, record.coldRemaining));
 }
 
 void backend_server::setConnectionShare(std::uint32_t maxConnections, std::uint32_t standing,
@@ -129,10 +137,46 @@
 
 void backend_server::setColdFor(duration left)
 {
-    m_coldUntil = m_env.loop.now() + left;
+    const time_point now = m_env.loop.now();
+    if (now >= m_coldUntil && left >= minColdExtension)
+        beginPace(server_pace::minShare);
+    m_coldUntil = now + left;
     updateColdLimit();
 }
 
+void backend_server::beginPace(double share)
+{
+    if (!m_env.pacesServers)
+        return;
+    m_wasPaced = true;
+    const bool wasActive = m_pace.isActive();
+    m_pace.begin(share, m_health.hint(), m_env.loop.now());
+    if (!wasActive && m_env.onPaceChanged)
+        m_env.onPaceChanged(*this, true);
+}
+
+bool backend_server::isSlow(const backend_attempt &a, time_point now) const
+{
+    return now - a.sentAt > m_health.roundTrip() + queueingWorkFactor * a.spec.work + queueingSlack;
+}
+
+void backend_server::maintainPace(time_point now)
+{
+    if (!m_pace.isActive())
+        return;
+    // A reply that waits in a queue comes too late to be its first sign.
+    const bool isLate = std::any_of(m_slots.begin(), m_slots.end(), [&](const auto &s) {
+        return s->attempt && isSlow(*s->attempt, now);
+    });
+    if (isLate)
+        m_pace.onTrouble(now);
+    if (!m_pace.endIfSteady(now))
+        return;
+    m_health.forgetSlowness();
+    if (m_env.onPaceChanged)
+        m_env.onPaceChanged(*this, false);
+}
+
 void backend_server::updateColdLimit()
 {
     const time_point now = m_env.loop.now();
@@ -193,7 +237,7 @@
     placement_candidate c;
     c.health = &m_health;
     c.isUsable = !wantsNoRequests() && m_maxConnections > 0;
-    c.isCold = now < m_coldUntil;
+    c.isCold = now < m_coldUntil && !m_wasPaced;
     c.hasIdleConnection = idleSlot(false) != nullptr;
     c.canConnect = mayOpen();
     c.recentlyRefused = m_connectBackoff > duration::zero();
@@ -397,8 +441,11 @@
             continue;
         const bool wasSuspect = m_health.isSuspect();
         a->isOver = true;
-        m_health.onAbandoned(a->sentAt, toleratedSilence(m_health.roundTrip(), a->spec.work),
-                             m_env.loop.now());
+        const time_point now = m_env.loop.now();
+        const duration tolerance = toleratedSilence(m_health.roundTrip(), a->spec.work);
+        m_health.onAbandoned(a->sentAt, tolerance, now);
+        if (now - a->sentAt > tolerance)
+            m_pace.onTrouble(now);
         reportSuspicionChange(wasSuspect);
         remove(*s);
         return;
@@ -482,6 +529,12 @@
         return m_health.onAbandoned(a.sentAt, duration::max(), now);
     if (result.probablyRefused)
         return m_health.onAbandoned(a.sentAt, duration::max(), now);
+    const bool isAnswer =
+            result.end == attempt_end::Reply && result.verdict == reply_verdict::Answer;
+    if (isAnswer && !isSlow(a, now))
+        m_pace.onReplyInTime(now);
+    else
+        m_pace.onTrouble(now);
     if (result.end == attempt_end::MayHaveRun)
         return m_health.onFailed(a.sentAt, now);
     switch (result.verdict) {
@@ -629,8 +682,15 @@
 {
     if (m_health.isSuspect())
         beginBusyPeriod();
-    if (wasSuspect != m_health.isSuspect())
-        m_env.onStateChanged(*this, wasSuspect ? "server_answers_again" : "server_suspected");
+    if (wasSuspect == m_health.isSuspect())
+        return;
+    const time_point now = m_env.loop.now();
+    if (!wasSuspect)
+        m_suspectSince = now;
+    else
+        beginPace(now - m_suspectSince < shortSilence ? server_pace::shortAbsenceShare
+                                                      : server_pace::minShare);
+    m_env.onStateChanged(*this, wasSuspect ? "server_answers_again" : "server_suspected");
 }
 
 void backend_server::applyNotice(const http_reply &reply)
@@ -680,6 +740,7 @@
 {
     const time_point now = m_env.loop.now();
     m_health.setHint(hint, now);
+    m_pace.onHint(hint, now);
     if (m_limit.onHint(hint.limit, now))
         onLimitChanged();
 }
@@ -690,6 +751,7 @@
     const time_point now = m_env.loop.now();
     if (m_coldLimit.limit(now) && now >= m_coldUntil)
         updateColdLimit();
+    maintainPace(now);
     endOverdueAttempts(now);
     if (!m_waiting.empty())
         failWaitingIfUnwanted();
--- a/lib/gateway/gateway_state.h
+++ b/lib/gateway/gateway_state.h
@@ -69,6 +69,9 @@
     counter &missingAwaited;
     counter &shardsWithoutSecondServer;
     counter &evacuatedDataCentres;
+    counter &pacesBegun;
+    counter &pacesEnded;
+    counter &attemptsDeferred;
     counter &openedForAttempts;
     counter &openedInAdvance;
     counter &openedForHealthChecks;
@@ -180,6 +183,8 @@
     /// Whether nothing is sent while the evacuations are unknown.
     bool m_awaitsEvacuations;
     time_point m_startedAt;
+    /// When this instance got its first list of servers.
+    std::optional<time_point> m_firstServersAt;
     time_point m_lastTick;
     unsigned m_ticks = 0;
     /// The group that was maintained last; a round goes by the order of names.
--- a/unittests/gateway/decisions_test.cpp
+++ b/unittests/gateway/decisions_test.cpp
@@ -205,6 +205,10 @@
     input.alternativeRoundTrip = milliseconds(52);
     const time_point at = secondAttemptTime(input, times);
     EXPECT_LE(at + milliseconds(52 + 10), times.targetEnd);
+    // A slow alternative, such as a server that has just started, is not loaded early.
+    input.isAlternativeSlow = true;
+    EXPECT_GT(secondAttemptTime(input, times), start + milliseconds(30));
+    input.isAlternativeSlow = false;
     // With an alternative that comes too late in any case, waiting saves an extra attempt.
     input.alternativeRoundTrip = milliseconds(80);
     EXPECT_GT(secondAttemptTime(input, times), start + milliseconds(30));
