Bound the memory and the descriptors of client connections

Cause: stream_server started the next pipelined request of a connection when the previous reply had been buffered, so that a client that read nothing had any number of replies buffered. Nothing bounded what many connections held together, nor their number, so that servers, the store and other instances could be left without descriptors.

Change: the next request starts when the kernel has taken the whole reply. client_memory counts what is held for the callers of a process (a sixth of memory_mb) and decides without I/O who is disconnected, by how far a client is behind one that reads or sends 64 KB/s; requests beyond half of it are refused with 503 before they start. Client connections take at most three quarters of the descriptors that are not reserved for files; at the bound a connection without a request, a slow or an idle one is closed for a new one. A connection that was removed starts no further request of its read-ahead.

--- a/include/peridotwheel/http/http_responder.h
+++ b/include/peridotwheel/http/http_responder.h
@@ -3,6 +3,7 @@
 
 #include "peridotwheel/http/http_message.h"
 
+#include <cstddef>
 #include <functional>
 
 namespace peridotwheel {
@@ -21,6 +22,9 @@
     virtual void reply(const http_reply &r) = 0;
     /// Sets the hook that is called once if the connection ends before the reply.
     virtual void onClientDisconnected(std::function<void()> hook) = 0;
+    /// Sets how much memory the parts of the reply occupy that have arrived so far. The client may
+    /// be disconnected for it, but not from within the call.
+    virtual void setPartBytes(std::size_t /*bytes*/) {}
     /// Closes the connection without a reply.
     virtual void drop() = 0;
 };
--- a/include/peridotwheel/http/socket_stream.h
+++ b/include/peridotwheel/http/socket_stream.h
@@ -28,6 +28,8 @@
     std::function<void()> onConnected;
     std::function<void(std::string_view)> onData;
     std::function<void(stream_end)> onEnd;
+    /// Called when the event loop has handed buffered data to the kernel.
+    std::function<void()> onSent;
 };
 
 /// A TCP connection. A write goes to the socket at once as far as its send buffer has room; the
@@ -50,6 +52,8 @@
     bool isDrained() const { return m_unsent.empty(); }
     /// Returns how much written data has not been handed to the kernel yet.
     std::size_t unsentBytes() const { return m_unsent.size(); }
+    /// Discards what has not been handed to the kernel, for a connection that is about to close.
+    void discardUnsent();
     /// Starts or stops reading. While reading is stopped, TCP flow control holds back a peer that
     /// sends too much, and its close is not detected.
     void setReading(bool reading);
@@ -62,7 +66,8 @@
     void watchRead();
     void onReadable();
     void onWritable();
-    void flush();
+    /// Returns false if the connection is broken.
+    bool flush();
     void end(stream_end how);
 
     libevent_loop &m_loop;
@@ -72,6 +77,7 @@
     event_ptr m_writeEvent;
     std::string m_unsent;
     bool m_connected = false;
+    bool m_isReading = true;
     bool m_shutdownAfterFlush = false;
     bool m_ended = false;
 };
--- a/include/peridotwheel/http/stream_server.h
+++ b/include/peridotwheel/http/stream_server.h
@@ -11,6 +11,7 @@
 
 namespace peridotwheel {
 
+class client_memory;
 class libevent_loop;
 
 /// Size and time limits of a client's requests.
@@ -31,8 +32,10 @@
 {
 public:
     /// \p limits is called for each request, so that a change also applies to open connections.
+    /// \p memory decides which clients are disconnected for want of memory or descriptors; without
+    /// it, none are.
     stream_server(libevent_loop &loop, std::function<stream_limits()> limits,
-                  exchange_hook onRequest);
+                  exchange_hook onRequest, std::shared_ptr<client_memory> memory = nullptr);
     stream_server(const stream_server &) = delete;
     stream_server &operator=(const stream_server &) = delete;
     ~stream_server();
--- a/lib/gateway/gateway_instance.cpp
+++ b/lib/gateway/gateway_instance.cpp
@@ -6,6 +6,7 @@
 #include "peridotwheel/counters/counter_set.h"
 #include "peridotwheel/gateway/decision_log.h"
 #include "peridotwheel/gateway/gateway.h"
+#include "peridotwheel/http/client_memory.h"
 #include "peridotwheel/http/socket_connector.h"
 #include "peridotwheel/http/stream_server.h"
 #include "peridotwheel/support/libevent_loop.h"
@@ -65,6 +66,7 @@
     instance_directory::initial_read initialRead() const;
     std::unique_ptr<evacuation_view> makeEvacuationView(platform_client &store, std::uint64_t seed);
     evacuation_hooks evacuationHooks();
+    std::shared_ptr<client_memory> makeClientMemory();
     void answerReadiness(http_responder &client);
     void answerMetrics(http_responder &client);
     bool isReady() const { return !m_stopping && m_gateway.isReady(); }
@@ -83,6 +85,7 @@
     /// Null if the settings have no evacuations.
     std::unique_ptr<evacuation_view> m_evacuations;
     view_exchange m_exchange;
+    std::shared_ptr<client_memory> m_clients;
     stream_server m_callers;
     stream_server m_readiness;
     stream_server m_metrics;
@@ -125,11 +128,13 @@
                  {[this] { return m_gateway.takeReports(); },
                   [this](const server_hints &hints) { m_gateway.setHints(hints); }},
                  evacuationHooks())
+    , m_clients(makeClientMemory())
     , m_callers(
               loop, [this] { return m_gateway.limits(); },
               [this](const opaque_request &request, std::shared_ptr<http_responder> client) {
                   m_gateway.handle(request, std::move(client));
-              })
+              },
+              m_clients)
     , m_readiness(
               loop, [] { return stream_limits(); },
               [this](const opaque_request &, const std::shared_ptr<http_responder> &client) {
@@ -171,6 +176,29 @@
             [this](bool watching) { m_evacuations->setWatching(watching); }};
 }
 
+std::shared_ptr<client_memory> gateway_instance::impl::makeClientMemory()
+{
+    using limit = client_memory::exceeded_limit;
+    const auto nameOf = [](limit l) { return l == limit::Memory ? "memory" : "connections"; };
+    client_memory::decision_hooks hooks;
+    hooks.onDropped = [this, nameOf](limit l, client_phase phase, std::size_t bytes) {
+        m_counters.at(std::string("gateway.clients_dropped.") + nameOf(l)).add();
+        m_log.decision("client_dropped")
+                .add("limit", nameOf(l))
+                .add("phase", clientPhaseName(phase))
+                .add("bytes", static_cast<std::int64_t>(bytes));
+    };
+    hooks.onRefused = [this, nameOf](limit l, std::size_t bytes) {
+        m_counters.at(std::string("gateway.clients_refused.") + nameOf(l)).add();
+        m_log.decision("client_refused")
+                .add("limit", nameOf(l))
+                .add("bytes", static_cast<std::int64_t>(bytes));
+    };
+    return std::make_shared<client_memory>(
+            client_limits::forProcess(m_settings.memoryBytes, m_settings.maxDescriptors),
+            std::move(hooks));
+}
+
 result<void> gateway_instance::impl::start()
 {
     m_gateway.setOutdatedViewHook(
@@ -214,6 +242,7 @@
     m_counters.at("gateway.admitted_permille")
             .set(static_cast<std::uint64_t>(1000 * m_gateway.lowestAdmissionShare()));
     m_counters.at("gateway.server_reply_bytes").set(m_serverReplies->bytes());
+    m_counters.at("gateway.client_bytes").set(m_clients->bytes());
     m_counters.at("gateway.client_connections").set(m_callers.openConnections());
     m_counters.at("process.processor_ms")
             .set(static_cast<std::uint64_t>(toMilliseconds(m_loop.processorTime())));
--- a/lib/gateway/running_request.h
+++ b/lib/gateway/running_request.h
@@ -170,6 +170,8 @@
     /// Numbers of parts, kept up to date because each reply asks for them.
     std::size_t m_answered = 0;
     std::size_t m_givenUp = 0;
+    /// Memory of the parts that are answered.
+    std::size_t m_partBytes = 0;
     /// A part that was pending and not stuck when it was last looked at.
     mutable std::size_t m_awaited = 0;
     /// Due times of second attempts, earliest first. An entry whose time is no longer that of its
--- a/lib/gateway/running_request_answer.cpp
+++ b/lib/gateway/running_request_answer.cpp
@@ -39,6 +39,8 @@
     }
     p.result = m_state.dialect.readPart(std::move(result.reply));
     keepGreatestRecords(p.result, m_route->gather->topRecords);
+    m_partBytes += p.result.records.capacity();
+    m_client->setPartBytes(m_partBytes);
     answerIfDecided();
 }
 
--- a/lib/http/socket_stream.cpp
+++ b/lib/http/socket_stream.cpp
@@ -133,6 +133,7 @@
 {
     if (!m_readEvent || m_ended)
         return;
+    m_isReading = reading;
     if (reading)
         event_add(m_readEvent.get(), nullptr);
     else
@@ -164,8 +165,17 @@
 {
     if (!m_fd)
         return end(stream_end::Broken);
-    if (m_connected)
-        return flush();
+    if (m_connected) {
+        if (!flush()) {
+            // Otherwise the next read fails, after it has delivered what arrived before.
+            if (!m_isReading)
+                end(stream_end::Broken);
+            return;
+        }
+        if (const auto hook = m_hooks.onSent)
+            hook();
+        return;
+    }
     int problem = 0;
     socklen_t size = sizeof problem;
     if (getsockopt(m_fd.get(), SOL_SOCKET, SO_ERROR, &problem, &size) != 0 || problem != 0)
@@ -198,7 +208,14 @@
     flush();
 }
 
-void socket_stream::flush()
+void socket_stream::discardUnsent()
+{
+    m_unsent = std::string();
+    if (m_writeEvent)
+        event_del(m_writeEvent.get());
+}
+
+bool socket_stream::flush()
 {
     if (!m_writeEvent) {
         const auto writable = [](evutil_socket_t, short, void *self) {
@@ -208,17 +225,20 @@
     }
     const ssize_t sent = send(m_fd.get(), m_unsent.data(), m_unsent.size(), MSG_NOSIGNAL);
     if (sent < 0 && !isTemporary(errno)) {
-        m_unsent.clear();
-        return;
+        m_unsent = std::string();
+        return false;
     }
     if (sent > 0)
         m_unsent.erase(0, static_cast<std::size_t>(sent));
     if (!m_unsent.empty()) {
         event_add(m_writeEvent.get(), nullptr);
-        return;
+        return true;
     }
+    // Frees the buffer, which a long reply has made large.
+    m_unsent = std::string();
     if (m_shutdownAfterFlush)
         shutdown(m_fd.get(), SHUT_WR);
+    return true;
 }
 
 void socket_stream::finishWriting()
--- a/lib/http/stream_server.cpp
+++ b/lib/http/stream_server.cpp
@@ -1,5 +1,6 @@
 #include "peridotwheel/http/stream_server.h"
 
+#include "peridotwheel/http/client_memory.h"
 #include "peridotwheel/http/socket_stream.h"
 #include "peridotwheel/support/libevent_loop.h"
 #include "peridotwheel/support/unique_fd.h"
@@ -24,6 +25,8 @@
 constexpr duration sweepInterval = milliseconds(250);
 /// Once more bytes of pipelined requests are buffered while one is being answered, reading stops.
 constexpr std::size_t maxReadAheadBytes = 64 * 1024;
+/// A larger buffer for arriving requests is freed as soon as it is empty; most requests fit.
+constexpr std::size_t keptReadAheadBytes = 4 * 1024;
 /// Time for which a connection stays open after its last reply was handed to the kernel, so that
 /// the client can read it.
 constexpr duration lingerTimeout = seconds(1);
@@ -43,6 +46,8 @@
     libevent_loop &loop;
     std::function<stream_limits()> limits;
     exchange_hook onRequest;
+    /// Null if clients may use any amount of memory.
+    std::shared_ptr<client_memory> memory;
     std::unordered_map<connection *, connection_ptr> connections;
     std::size_t inFlight = 0;
     bool draining = false;
@@ -61,14 +66,26 @@
     void sweep(time_point now);
     void closeIfIdle();
     void reply(const http_reply &r, bool keepAlive, bool isHead);
+    void setPartBytes(std::size_t bytes);
     void remove();
 
 private:
     void onData(std::string_view data);
     void onEnd();
+    void onSent();
+    /// Returns whether the next request has to wait: a request is being answered, or its reply has
+    /// not been handed to the kernel. Otherwise a client that reads nothing could have any number
+    /// of replies buffered.
+    bool isOccupied() const { return m_busy || !m_stream.isDrained(); }
+    void startNextRequest();
+    std::size_t heldBytes() const;
+    void enterPhase(client_phase phase);
+    void updateHeldBytes(std::size_t moved);
+    void releaseMemory();
+    void disconnectForRoom();
     void readMessages();
     void refuseInvalidMessage();
-    void start(opaque_request request);
+    void start();
     void refuse(int status, const char *text);
     void linger();
     void noteSendProgress(time_point now);
@@ -81,12 +98,19 @@
     bool m_lingering = false;
     bool m_continueSent = false;
     bool m_hadRequest = false;
+    /// Whether this connection was removed, or will be, so that no further request may start.
+    bool m_isClosed = false;
+    /// Memory of the request that is being answered, and of the parts of its reply.
+    std::size_t m_requestBytes = 0;
+    std::size_t m_partBytes = 0;
     time_point m_openedAt;
     /// Start of the present phase of the connection, or the latest progress in sending a reply.
     time_point m_phaseStart;
     std::size_t m_unsentBytes = 0;
     duration m_idleTimeout;
     socket_stream m_stream;
+    /// Null if the server has no limit.
+    std::unique_ptr<client_memory::holder> m_held;
 };
 
 class pending_exchange : public http_responder
@@ -122,6 +146,14 @@
         m_onClientDisconnected = std::move(hook);
     }
 
+    void setPartBytes(std::size_t bytes) override
+    {
+        if (m_finished)
+            return;
+        if (const auto at = m_connection.lock())
+            at->setPartBytes(bytes);
+    }
+
     void drop() override
     {
         if (m_finished)
@@ -165,12 +197,21 @@
     , m_idleTimeout(m_state->limits().idleTimeout)
     , m_stream(m_state->loop, std::move(fd),
                {nullptr, [this](std::string_view data) { onData(data); },
-                [this](stream_end) { onEnd(); }})
+                [this](stream_end) { onEnd(); }, [this] { onSent(); }})
 {
+    if (!m_state->memory)
+        return;
+    m_held = std::make_unique<client_memory::holder>(
+            *m_state->memory,
+            client_memory::holder_hooks{[this] { releaseMemory(); },
+                                        [this] { disconnectForRoom(); }},
+            m_openedAt);
 }
 
 void connection::remove()
 {
+    m_isClosed = true;
+    m_held.reset();
     m_state->connections.erase(this);
 }
 
@@ -182,30 +223,110 @@
     remove();
 }
 
+std::size_t connection::heldBytes() const
+{
+    return m_parser.heldBytes() + m_readAhead.capacity() + m_stream.unsentBytes() + m_requestBytes +
+           m_partBytes;
+}
+
+void connection::enterPhase(client_phase phase)
+{
+    if (m_held)
+        m_held->enter(phase, heldBytes(), m_state->loop.now());
+}
+
+void connection::updateHeldBytes(std::size_t moved)
+{
+    if (m_held)
+        m_held->update(heldBytes(), moved, m_state->loop.now());
+}
+
+void connection::setPartBytes(std::size_t bytes)
+{
+    if (m_isClosed)
+        return;
+    m_partBytes = bytes;
+    updateHeldBytes(0);
+}
+
+void connection::releaseMemory()
+{
+    m_isClosed = true;
+    m_stream.setReading(false);
+    m_stream.discardUnsent();
+    m_readAhead = std::string();
+    m_requestBytes = 0;
+    m_partBytes = 0;
+    m_parser.reset();
+    m_state->loop.post([self = shared_from_this()] {
+        if (const auto e = self->m_exchange.lock())
+            e->notifyClientDisconnected();
+        self->remove();
+    });
+}
+
+void connection::disconnectForRoom()
+{
+    const auto self = shared_from_this();
+    const client_phase before = m_held->phase();
+    if (before == client_phase::Fresh || before == client_phase::Idle) {
+        // A request that has arrived must not be cut off.
+        m_stream.readPending();
+        if (!m_held || m_held->phase() != before || !m_readAhead.empty())
+            return;
+    }
+    remove();
+}
+
+void connection::onSent()
+{
+    const auto self = shared_from_this();
+    noteSendProgress(m_state->loop.now());
+    if (m_isClosed || m_busy || !m_stream.isDrained())
+        return;
+    m_phaseStart = m_state->loop.now();
+    enterPhase(m_lingering ? client_phase::Closing : client_phase::Idle);
+    if (!m_lingering)
+        startNextRequest();
+}
+
+void connection::startNextRequest()
+{
+    m_stream.setReading(true);
+    if (m_readAhead.empty())
+        return;
+    // Posted rather than called, since the caller of `reply` has not returned yet.
+    m_state->loop.post([self = shared_from_this()] { self->readMessages(); });
+}
+
 void connection::onData(std::string_view data)
 {
-    if (m_lingering)
+    if (m_lingering || m_isClosed)
         return;
     const auto self = shared_from_this();
     m_readAhead.append(data);
-    if (m_readAhead.size() > maxReadAheadBytes && m_busy)
+    if (m_readAhead.size() > maxReadAheadBytes && isOccupied())
         m_stream.setReading(false);
-    if (!m_busy)
+    if (isOccupied())
+        updateHeldBytes(0);
+    else
         readMessages();
 }
 
 void connection::readMessages()
 {
-    while (!m_busy && !m_lingering && !m_readAhead.empty()) {
+    while (!isOccupied() && !m_lingering && !m_isClosed && !m_readAhead.empty()) {
         if (m_parser.state() == message_parser::parse_state::Empty) {
             m_phaseStart = m_state->loop.now();
             m_parser.setLimits(m_state->limits().message);
         }
         const std::size_t used = m_parser.feed(m_readAhead.data(), m_readAhead.size());
         m_readAhead.erase(0, used);
+        if (m_readAhead.empty() && m_readAhead.capacity() > keptReadAheadBytes)
+            m_readAhead = std::string();
         switch (m_parser.state()) {
         case message_parser::parse_state::Complete:
-            start(m_parser.takeRequest());
+            start();
             break;
         case message_parser::parse_state::Empty:
         case message_parser::parse_state::Incomplete:
@@ -213,6 +334,10 @@
                 m_continueSent = true;
                 m_stream.write("HTTP/1.1 100 Continue\r\n\r\n");
             }
+            if (m_held && m_held->phase() != client_phase::Receiving)
+                enterPhase(client_phase::Receiving);
+            else
+                updateHeldBytes(used);
             return;
         default:
             refuseInvalidMessage();
@@ -238,70 +363,87 @@
     reply({status, {{"Content-Type", "text/plain"}}, text}, false, false);
 }
 
-void connection::start(opaque_request request)
+void connection::start()
 {
+    m_requestBytes = m_parser.heldBytes();
+    opaque_request request = m_parser.takeRequest();
     m_busy = true;
     m_hadRequest = true;
     m_continueSent = false;
     auto e = std::make_shared<pending_exchange>(m_state, shared_from_this(), request);
     m_exchange = e;
+    if (m_state->memory && !m_state->memory->admit(m_requestBytes)) {
+        e->reply({503,
+                  {{"Content-Type", "text/plain"}, {"Retry-After", "1"}},
+                  "requests in progress take all memory here; not run, try again\n"});
+        return;
+    }
+    enterPhase(client_phase::Running);
+    if (m_isClosed)
+        return;
     m_state->onRequest(std::move(request), std::move(e));
 }
 
 void connection::reply(const http_reply &r, bool keepAlive, bool isHead)
 {
     const auto self = shared_from_this();
+    if (m_isClosed)
+        return;
     m_stream.write(replyText(r, keepAlive, isHead));
     m_unsentBytes = m_stream.unsentBytes();
     m_busy = false;
+    m_requestBytes = 0;
+    m_partBytes = 0;
     m_phaseStart = m_state->loop.now();
     // The client may rely on the timeout that was in force when it became idle.
     m_idleTimeout = m_state->limits().idleTimeout;
     if (!keepAlive)
-        return linger();
-    m_stream.setReading(true);
-    if (m_readAhead.empty())
-        return;
-    // Posted rather than called, since the caller of `reply` has not returned yet.
-    m_state->loop.post([self] {
-        if (!self->m_busy)
-            self->readMessages();
-    });
+        linger();
+    const client_phase drained = keepAlive ? client_phase::Idle : client_phase::Closing;
+    enterPhase(m_stream.isDrained() ? drained : client_phase::Sending);
+    if (!m_lingering && !m_isClosed && m_stream.isDrained())
+        startNextRequest();
 }
 
 void connection::linger()
 {
     // Closing a socket with unread bytes resets the connection, and the reply could be lost.
     m_lingering = true;
-    m_readAhead.clear();
+    m_readAhead = std::string();
     m_stream.finishWriting();
 }
 
 void connection::closeIfIdle()
 {
     const auto self = shared_from_this();
-    const bool mayBeIdle = !m_busy && !m_lingering;
+    const bool mayBeIdle = !m_busy && !m_lingering && m_readAhead.size() <= maxReadAheadBytes;
     if (mayBeIdle)
         m_stream.readPending();
     const bool awaitsFirstRequest =
             !m_hadRequest && m_state->loop.now() - m_openedAt < firstRequestTimeout;
     const bool isIdle = !m_busy && m_parser.state() == message_parser::parse_state::Empty;
-    if (isIdle && m_readAhead.empty() && !m_lingering && !awaitsFirstRequest)
+    if (isIdle && m_readAhead.empty() && !m_lingering && !awaitsFirstRequest) {
         linger();
+        enterPhase(m_stream.isDrained() ? client_phase::Closing : client_phase::Sending);
+    }
 }
 
 void connection::noteSendProgress(time_point now)
 {
-    const std::size_t unsent = m_stream.unsentBytes();
-    if (unsent < m_unsentBytes)
-        m_phaseStart = now;
-    m_unsentBytes = unsent;
+    const std::size_t before = m_unsentBytes;
+    m_unsentBytes = m_stream.unsentBytes();
+    if (m_unsentBytes >= before)
+        return;
+    m_phaseStart = now;
+    updateHeldBytes(before - m_unsentBytes);
 }
 
 void connection::sweep(time_point now)
 {
     const auto self = shared_from_this();
     noteSendProgress(now);
+    if (m_isClosed)
+        return;
     if (m_lingering) {
         const duration timeout = m_stream.isDrained() ? lingerTimeout : m_idleTimeout;
         if (now - m_phaseStart >= timeout)
@@ -332,9 +474,10 @@
 class stream_server::impl
 {
 public:
-    impl(libevent_loop &loop, std::function<stream_limits()> limits, exchange_hook onRequest)
-        : m_state(std::make_shared<server_state>(
-                  server_state{loop, std::move(limits), std::move(onRequest), {}}))
+    impl(libevent_loop &loop, std::function<stream_limits()> limits, exchange_hook onRequest,
+         std::shared_ptr<client_memory> memory)
+        : m_state(std::make_shared<server_state>(server_state{
+                  loop, std::move(limits), std::move(onRequest), std::move(memory), {}}))
     {
         scheduleSweep();
     }
@@ -403,6 +546,8 @@
                 pauseAccepting();
             return;
         }
+        if (m_state->memory && !m_state->memory->makeRoom(m_state->loop.now()))
+            continue;
         auto c = std::make_shared<connection>(m_state, std::move(fd));
         m_state->connections.emplace(c.get(), c);
     }
@@ -450,8 +595,9 @@
 }
 
 stream_server::stream_server(libevent_loop &loop, std::function<stream_limits()> limits,
-                             exchange_hook onRequest)
-    : m_impl(std::make_unique<impl>(loop, std::move(limits), std::move(onRequest)))
+                             exchange_hook onRequest, std::shared_ptr<client_memory> memory)
+    : m_impl(std::make_unique<impl>(loop, std::move(limits), std::move(onRequest),
+                                    std::move(memory)))
 {
 }
 
--- a/unittests/http/stream_test.cpp
+++ b/unittests/http/stream_test.cpp
@@ -199,6 +199,22 @@
     EXPECT_LT(text.find("first"), text.find("second"));
 }
 
+// Guards against replies that are all buffered for a client that reads none of them.
+TEST_F(stream_server_test, startsNoRequestBeforeThePreviousReplyHasLeft)
+{
+    constexpr std::size_t replyBytes = 8 * 1024 * 1024;
+    const unique_fd fd = connectRaw(64 * 1024);
+    write(fd, get + get);
+    runFor(milliseconds(20));
+    ASSERT_EQ(exchanges.size(), 1U);
+    exchanges[0]->reply({200, {}, std::string(replyBytes, 'x')});
+    runFor(milliseconds(100));
+    EXPECT_EQ(exchanges.size(), 1U);
+    EXPECT_GT(readSlowly(fd, replyBytes), replyBytes);
+    runFor(milliseconds(20));
+    EXPECT_EQ(exchanges.size(), 2U);
+}
+
 TEST_F(stream_server_test, refusesABodyLargerThanTheLimit)
 {
     limits.message.maxBodyBytes = 4;
