Draw the secret of keys apart, split the handling of requests, describe the parts

Cause: the digest of keys was seeded by the number of the process, which messages about allotments carry to other instances; gateway::handle had grown to two screens; refusals over an allotment were not counted by team at once.

Change: a random number of its own that never leaves the process; the request for a token is a function; server_pace has no name of the platform any more.

--- a/include/peridotwheel/gateway/backend_server.h
+++ b/include/peridotwheel/gateway/backend_server.h
@@ -165,7 +165,7 @@
     void drain();
     bool isDraining() const { return m_isDraining || m_record.draining; }
     /// Begins the pace of a server that is new to this instance.
-    void beginPace() { beginPace(server_pace::minShare); }
+    void beginPace() { beginPace(server_pace::leastShare); }
     /// Returns whether the server gets a part of its usual first attempts only.
     bool isPaced() const { return m_pace.isActive(); }
     /// Returns the part of its usual first attempts that the server gets, from 0 to 1.
--- a/include/peridotwheel/gateway/gateway_instance.h
+++ b/include/peridotwheel/gateway/gateway_instance.h
@@ -23,6 +23,8 @@
     /// Sends requests to other instances.
     http_client &http;
     cluster_documents documents;
+    /// Random number that never leaves the process.
+    std::uint64_t secret = 0;
 };
 
 /// One gateway process: its listeners, its view of the cluster and its shutdown.
--- a/include/peridotwheel/gateway/server_pace.h
+++ b/include/peridotwheel/gateway/server_pace.h
@@ -17,7 +17,7 @@
 {
 public:
     /// Share at the beginning of a pace, and its lower bound.
-    static constexpr double minShare = 0.1;
+    static constexpr double leastShare = 0.1;
     /// Share at the beginning for a server that has lost little, such as after a short silence.
     static constexpr double shortAbsenceShare = 0.5;
 
@@ -26,7 +26,7 @@
     void begin(double share, const server_hint &hint, time_point now);
     /// Returns whether a pace has begun and has not ended; the share is 1 otherwise.
     bool isActive() const { return m_isActive; }
-    /// Returns the share, from `minShare` to 1.
+    /// Returns the share, from `leastShare` to 1.
     double share(time_point now) const;
     /// Records a reply that kept its time.
     void onReplyInTime(time_point now);
--- a/lib/gateway/backend_server.cpp
+++ b/lib/gateway/backend_server.cpp
@@ -139,7 +139,7 @@
 {
     const time_point now = m_env.loop.now();
     if (now >= m_coldUntil && left >= minColdExtension)
-        beginPace(server_pace::minShare);
+        beginPace(server_pace::leastShare);
     m_coldUntil = now + left;
     updateColdLimit();
 }
@@ -689,7 +689,7 @@
         m_suspectSince = now;
     else
         beginPace(now - m_suspectSince < shortSilence ? server_pace::shortAbsenceShare
-                                                      : server_pace::minShare);
+                                                      : server_pace::leastShare);
     m_env.onStateChanged(*this, wasSuspect ? "server_answers_again" : "server_suspected");
 }
 
--- a/lib/gateway/configuration_check.cpp
+++ b/lib/gateway/configuration_check.cpp
@@ -111,7 +111,7 @@
         const auto shards = static_cast<double>(r->gather->shards.size());
         const double needed = std::ceil(r->gather->minCoverage * shards - roundingTolerance);
         if (needed >= shards)
-            out.errors.push_back(routeText(*r) + " has a minShare of " +
+            out.errors.push_back(routeText(*r) + " has a leastShare of " +
                                  numberText(r->gather->minCoverage) + ", which only all of its " +
                                  numberText(shards) + " shards reach; set it to 1 or to at most " +
                                  numberText((shards - 1) / shards));
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -28,6 +28,25 @@
     std::shared_ptr<running_request> request;
 };
 
+/// Asks for a token of the team's allotment. Returns null if the request needs none.
+std::shared_ptr<pending_allotment> takeAllotment(const gateway_state &s,
+                                                 const caller_identity &identity,
+                                                 const caller_terms &terms, const route &r)
+{
+    if (!identity.team || !identity.team->allotment || !s.allotments.take)
+        return nullptr;
+    auto pending = std::make_shared<pending_allotment>();
+    const duration budget = std::min(terms.timeBudget.value_or(r.timeout), r.timeout);
+    const duration wait = std::min(maxAllotmentWait, budget / allotmentWaitDivisor);
+    s.allotments.take(*identity.team, s.loop.now() + wait,
+                      [pending](const allotment_decision &decision) {
+                          pending->decision = decision;
+                          if (pending->request)
+                              pending->request->onAllotment(decision);
+                      });
+    return pending;
+}
+
 refusal authenticationFailure(key_presence presence)
 {
     switch (presence) {
@@ -178,24 +197,15 @@
                "instance_full");
         return;
     }
-    std::shared_ptr<pending_allotment> pending;
-    if (identity.team && identity.team->allotment && s.allotments.take) {
-        pending = std::make_shared<pending_allotment>();
-        const duration budget = std::min(terms.value().timeBudget.value_or(r->timeout), r->timeout);
-        const duration wait = std::min(maxAllotmentWait, budget / allotmentWaitDivisor);
-        s.allotments.take(*identity.team, s.loop.now() + wait,
-                          [pending](const allotment_decision &decision) {
-                              pending->decision = decision;
-                              if (pending->request)
-                                  pending->request->onAllotment(decision);
-                          });
-        // Most refusals are decided at once. A team far over its allotment costs the least if its
-        // requests are refused before they are prepared.
-        const auto &decision = pending->decision;
-        if (decision && decision->verdict == allotment_verdict::OverLimit)
+    const auto pending = takeAllotment(s, identity, terms.value(), *r);
+    // Most refusals are decided at once. A team far over its allotment costs the least if its
+    // requests are refused before they are prepared.
+    if (pending && pending->decision && pending->decision->verdict != allotment_verdict::Granted) {
+        if (pending->decision->verdict == allotment_verdict::OverLimit)
             s.count.overAllotment.add();
-        if (decision && decision->verdict != allotment_verdict::Granted)
-            return refuse(allotmentRefusal(*decision), allotmentRefusalReason(*decision));
+        s.teamCounts.addRefused(identity.team);
+        return refuse(allotmentRefusal(*pending->decision),
+                      allotmentRefusalReason(*pending->decision));
     }
     auto running = std::make_shared<running_request>(s, r, s.routes->version(), request,
                                                      terms.value(), identity, std::move(client));
--- a/lib/gateway/gateway_instance.cpp
+++ b/lib/gateway/gateway_instance.cpp
@@ -121,7 +121,7 @@
               }))
     , m_serverConnector(loop, maxServerReplyBytes, m_serverReplies, tcp_keepalive::Off)
     , m_gateway(loop, m_serverConnector, environment.dialect, m_counters, log,
-                optionsFrom(m_settings, seed))
+                optionsFrom(m_settings, environment.secret))
     , m_directory(loop, environment.store, log, selfFrom(m_settings), seed,
                   [this](const member_map &members) {
                       m_gateway.setInstances(members);
--- a/lib/gateway/server_pace.cpp
+++ b/lib/gateway/server_pace.cpp
@@ -40,7 +40,7 @@
 
 void server_pace::restart(double share, time_point now, time_point resumeAt)
 {
-    m_share = std::clamp(share, minShare, 1.0);
+    m_share = std::clamp(share, leastShare, 1.0);
     m_risesFrom = std::max(now, resumeAt);
 }
 
--- a/unittests/gateway/server_pace_test.cpp
+++ b/unittests/gateway/server_pace_test.cpp
@@ -297,8 +297,8 @@
 {
     server_pace pace;
     EXPECT_EQ(pace.share(start), 1);
-    pace.begin(server_pace::minShare, {}, start);
-    EXPECT_EQ(pace.share(start), server_pace::minShare);
+    pace.begin(server_pace::leastShare, {}, start);
+    EXPECT_EQ(pace.share(start), server_pace::leastShare);
     EXPECT_LT(pace.share(start + seconds(1)), 0.3);
     EXPECT_EQ(pace.share(start + seconds(3)), 1);
     EXPECT_FALSE(pace.endIfSteady(start + seconds(3)));
@@ -310,7 +310,7 @@
 TEST(server_pace, reachesTheFullShareSoonerWithRepliesInTime)
 {
     server_pace pace;
-    pace.begin(server_pace::minShare, {}, start);
+    pace.begin(server_pace::leastShare, {}, start);
     pace.onReplyInTime(start + milliseconds(100));
     EXPECT_EQ(pace.share(start + seconds(2)), 1);
 }
@@ -327,19 +327,19 @@
     EXPECT_GT(pace.share(start + milliseconds(1000)), 0.4);
     for (int i = 0; i < 10; ++i)
         pace.onTrouble(start + seconds(2 + i));
-    EXPECT_EQ(pace.share(start + seconds(11)), server_pace::minShare);
+    EXPECT_EQ(pace.share(start + seconds(11)), server_pace::leastShare);
 }
 
 // Guards against instances that raise the share by time although others measure a queue.
 TEST(server_pace, doesNotRiseAgainstHints)
 {
     server_pace pace;
-    pace.begin(server_pace::minShare, {}, start);
+    pace.begin(server_pace::leastShare, {}, start);
     time_point now = start;
     for (; now < start + seconds(5); now += milliseconds(400)) {
         pace.onHint({5, 0, {}}, now);
         pace.onReplyInTime(now);
-        EXPECT_EQ(pace.share(now + milliseconds(399)), server_pace::minShare);
+        EXPECT_EQ(pace.share(now + milliseconds(399)), server_pace::leastShare);
     }
     pace.onHint({}, now);
     EXPECT_EQ(pace.share(now + seconds(3)), 1);
@@ -350,7 +350,7 @@
 {
     const server_hint failing{1, 0.9, {}};
     server_pace pace;
-    pace.begin(server_pace::minShare, failing, start);
+    pace.begin(server_pace::leastShare, failing, start);
     pace.onHint(failing, start + seconds(1));
     EXPECT_EQ(pace.share(start + seconds(3)), 1);
     pace.onHint({}, start + seconds(3));
