Log documents that are passed over for their revision

configuration_passed_over and server_entry_passed_over name the revision and the known one. Lists that repeat the known revision log nothing.

--- a/include/peridotwheel/gateway/cluster_view.h
+++ b/include/peridotwheel/gateway/cluster_view.h
@@ -132,6 +132,8 @@
     void onServersRead(const watch_result &read, bool isFullList);
     void store(const platform_object &object);
     void applyServer(const platform_object &object);
+    void logPassedOver(const char *event, const platform_object &object, object_version known,
+                       std::string_view source);
     void removeUnlistedServers(const watch_result &list);
     void removeServer(const std::string &name);
     void handleServerRemoval(const std::string &name);
--- a/lib/gateway/cluster_view.cpp
+++ b/lib/gateway/cluster_view.cpp
@@ -152,8 +152,11 @@
     if (object.key.name != m_documents.configurationName)
         return;
     // Parsing a large document takes long, so one that is known is not parsed again.
-    if (m_configuration && object.version <= m_configuration->version)
+    if (m_configuration && object.version <= m_configuration->version) {
+        if (object.version < m_configuration->version)
+            logPassedOver("configuration_passed_over", object, m_configuration->version, source);
         return;
+    }
     auto read = m_documents.readConfiguration(object);
     if (!read) {
         m_log.state("configuration_refused").add("reason", read.error().message);
@@ -183,7 +186,7 @@
 {
     platform_object &known = m_serverObjects[object.key.name];
     if (!known.key.name.empty() && object.version < known.version)
-        return;
+        return logPassedOver("server_entry_passed_over", object, known.version, "");
     const bool isUnchanged = known.value == object.value;
     known = object;
     const bool isReregistered = m_removedAt.erase(object.key.name) > 0;
@@ -208,6 +211,16 @@
     m_serversChanged = true;
 }
 
+void cluster_view::logPassedOver(const char *event, const platform_object &object,
+                                 object_version known, std::string_view source)
+{
+    m_log.decision(event)
+            .add("name", object.key.name)
+            .add("revision", static_cast<std::int64_t>(object.version.value()))
+            .add("known_revision", static_cast<std::int64_t>(known.value()))
+            .add("source", source);
+}
+
 void cluster_view::recordRemoval(const std::string &name)
 {
     m_removedAt[name] = m_serversRevision;
