Order positions in the store by its era before the revision

After the store's return from an earlier copy its revisions go back and are given out again, so that every comparison of revisions took what was written since for old, on all instances at once and until the store had passed its former revision.

Configurations of different eras are ordered by the operators' version alone.

--- a/include/peridotwheel/gateway/cluster_view.h
+++ b/include/peridotwheel/gateway/cluster_view.h
@@ -131,6 +131,7 @@
 private:
     void onServersRead(const watch_result &read, bool isFullList);
     void store(const platform_object &object);
+    void onStoreReturned(object_version position);
     void applyServer(const platform_object &object);
     void logPassedOver(const char *event, const platform_object &object, object_version known,
                        std::string_view source);
--- a/include/peridotwheel/gateway/gateway_instance.h
+++ b/include/peridotwheel/gateway/gateway_instance.h
@@ -25,6 +25,8 @@
     cluster_documents documents;
     /// Random number that never leaves the process.
     std::uint64_t secret = 0;
+    /// Returns how many replies of the store had no valid era; may be empty.
+    std::function<std::uint64_t()> invalidEras;
 };
 
 /// One gateway process: its listeners, its view of the cluster and its shutdown.
--- a/lib/gateway/cluster_view.cpp
+++ b/lib/gateway/cluster_view.cpp
@@ -151,8 +151,10 @@
 {
     if (object.key.name != m_documents.configurationName)
         return;
-    // Parsing a large document takes long, so one that is known is not parsed again.
-    if (m_configuration && object.version <= m_configuration->version) {
+    // Parsing a large document takes long, so one that is known is not parsed again. Revisions of
+    // different eras tell nothing about which document is newer.
+    if (m_configuration && object.version.era() == m_configuration->version.era() &&
+        object.version <= m_configuration->version) {
         if (object.version < m_configuration->version)
             logPassedOver("configuration_passed_over", object, m_configuration->version, source);
         return;
@@ -216,7 +218,9 @@
 {
     m_log.decision(event)
             .add("name", object.key.name)
+            .add("era", static_cast<std::int64_t>(object.version.era().value()))
             .add("revision", static_cast<std::int64_t>(object.version.value()))
+            .add("known_era", static_cast<std::int64_t>(known.era().value()))
             .add("known_revision", static_cast<std::int64_t>(known.value()))
             .add("source", source);
 }
@@ -266,8 +270,23 @@
         handleServerRemoval(name);
 }
 
+void cluster_view::onStoreReturned(object_version position)
+{
+    m_log.state("store_returned")
+            .add("era", static_cast<std::int64_t>(position.era().value()))
+            .add("revision", static_cast<std::int64_t>(position.value()))
+            .add("former_revision", static_cast<std::int64_t>(m_serversRevision.value()));
+    m_graceUntil = std::max(m_graceUntil, m_loop.now() + reregistrationGrace);
+    // Instances whose position is of an earlier era get the full list.
+    m_historyStart = position;
+}
+
 void cluster_view::onServersRead(const watch_result &read, bool isFullList)
 {
+    if (read.next.era() < m_serversRevision.era())
+        return;
+    if (m_serversRevision.value() != 0 && read.next.era() > m_serversRevision.era())
+        onStoreReturned(read.next);
     m_serversRevision = std::max(m_serversRevision, read.next);
     if (m_historyStart.value() == 0)
         m_historyStart = m_serversRevision;
@@ -328,9 +347,13 @@
 
 void cluster_view::merge(const view_snapshot &other)
 {
-    recordRead(m_loop.now() - other.age);
+    // A view from before the store's return is out of date, however recently it was read.
+    if (other.serversRevision.era() >= m_serversRevision.era())
+        recordRead(m_loop.now() - other.age);
     if (other.configuration)
         applyConfiguration(*other.configuration, other.source);
+    if (other.serversRevision.value() == 0)
+        return;
     const bool isOld = other.serversRevision < m_serversRevision ||
                        (other.serversSince && other.serversRevision == m_serversRevision);
     // Changes relative to a revision that is not reached here would omit the changes before it.
--- a/lib/gateway/configuration_document.cpp
+++ b/lib/gateway/configuration_document.cpp
@@ -76,6 +76,8 @@
     out.version = static_cast<std::int64_t>(reply.document.version.value());
     out.name = reply.document.name;
     out.revision = static_cast<std::int64_t>(reply.document.revision.value());
+    if (reply.document.revision.era() != store_era())
+        out.__set_era(static_cast<std::int64_t>(reply.document.revision.era().value()));
     out.textBytes = static_cast<std::int32_t>(reply.document.textBytes);
     out.documentBytes = static_cast<std::int32_t>(reply.documentBytes);
     out.documentChecksum = static_cast<std::int64_t>(reply.document.checksum.value());
@@ -100,7 +102,8 @@
     configuration_reply out;
     out.document.version = configuration_version(static_cast<std::uint64_t>(in.version));
     out.document.name = std::move(in.name);
-    out.document.revision = object_version(static_cast<std::uint64_t>(in.revision));
+    out.document.revision = object_version(store_era(static_cast<std::uint64_t>(in.era)),
+                                           static_cast<std::uint64_t>(in.revision));
     out.document.textBytes = static_cast<std::size_t>(in.textBytes);
     out.document.checksum = document_checksum(static_cast<std::uint64_t>(in.documentChecksum));
     out.documentBytes = static_cast<std::size_t>(in.documentBytes);
--- a/lib/gateway/gateway_instance.cpp
+++ b/lib/gateway/gateway_instance.cpp
@@ -91,6 +91,7 @@
     cluster_view m_view;
     /// Null if the settings have no evacuations.
     std::unique_ptr<evacuation_view> m_evacuations;
+    std::function<std::uint64_t()> m_invalidEras;
     allotment_exchange m_allotments;
     view_exchange m_exchange;
     std::shared_ptr<client_memory> m_clients;
@@ -136,6 +137,7 @@
               },
               [this](const backend_map &servers) { m_gateway.setServers(servers); }})
     , m_evacuations(makeEvacuationView(environment.store, seed))
+    , m_invalidEras(std::move(environment.invalidEras))
     , m_allotments(loop, environment.http, m_counters, log,
                    {m_settings.id, start_id(seed), m_settings.allotments,
                     [this]() -> const member_map & { return knownMembers(); }})
@@ -278,6 +280,8 @@
     m_counters.at("process.processor_ms")
             .set(static_cast<std::uint64_t>(toMilliseconds(m_loop.processorTime())));
     m_counters.at("log.lines_left_out").set(m_log.droppedLines());
+    if (m_invalidEras)
+        m_counters.at("platform.invalid_eras").set(m_invalidEras());
     client.reply({200,
                   {{"Content-Type", "text/plain"}},
                   metricsText(m_counters, m_gateway.busiestTeams(shownTeams))});
--- a/lib/gateway/view_codec.cpp
+++ b/lib/gateway/view_codec.cpp
@@ -13,18 +13,36 @@
 
 namespace {
 
+std::int64_t eraOf(object_version version)
+{
+    return static_cast<std::int64_t>(version.era().value());
+}
+
+/// Returns the position of \p revision in \p era; an era that was not sent is 0.
+object_version position(std::int64_t era, std::int64_t revision)
+{
+    return {store_era(static_cast<std::uint64_t>(era)), static_cast<std::uint64_t>(revision)};
+}
+
+bool hasEra(object_version version)
+{
+    return version.era() != store_era();
+}
+
 wire::ViewObject toWire(const platform_object &object)
 {
     wire::ViewObject out;
     out.name = object.key.name;
     out.version = static_cast<std::int64_t>(object.version.value());
+    if (hasEra(object.version))
+        out.__set_era(eraOf(object.version));
     out.value = object.value;
     return out;
 }
 
 platform_object fromWire(const wire::ViewObject &in, const std::string &kind)
 {
-    return {{kind, in.name}, object_version(static_cast<std::uint64_t>(in.version)), in.value};
+    return {{kind, in.name}, position(in.era, in.version), in.value};
 }
 
 wire::CompressedObjects toWire(const compressed_objects &list)
@@ -137,18 +155,22 @@
 
 } // namespace
 
-std::string encodePosition(const view_position &position)
+std::string encodePosition(const view_position &at)
 {
     wire::ViewRequest out;
-    out.configurationVersion = static_cast<std::int64_t>(position.configuration.value());
-    out.serversAt = static_cast<std::int64_t>(position.serversRevision.value());
-    out.instancesAt = static_cast<std::int64_t>(position.instancesRevision.value());
-    if (position.requesterAddress)
-        out.__set_askerAt(endpointText(*position.requesterAddress));
-    if (position.reports)
-        out.__set_reports(toWire(*position.reports));
-    out.__set_fetchesConfiguration(position.fetchesConfiguration);
-    out.__set_readsCompressedLists(position.readsCompressedLists);
+    out.configurationVersion = static_cast<std::int64_t>(at.configuration.value());
+    out.serversAt = static_cast<std::int64_t>(at.serversRevision.value());
+    out.instancesAt = static_cast<std::int64_t>(at.instancesRevision.value());
+    if (hasEra(at.serversRevision))
+        out.__set_serversEra(eraOf(at.serversRevision));
+    if (hasEra(at.instancesRevision))
+        out.__set_instancesEra(eraOf(at.instancesRevision));
+    if (at.requesterAddress)
+        out.__set_askerAt(endpointText(*at.requesterAddress));
+    if (at.reports)
+        out.__set_reports(toWire(*at.reports));
+    out.__set_fetchesConfiguration(at.fetchesConfiguration);
+    out.__set_readsCompressedLists(at.readsCompressedLists);
     return encodeThrift(out);
 }
 
@@ -157,8 +179,8 @@
     BOOST_OUTCOME_TRY(in, decodeThrift<wire::ViewRequest>(text));
     view_position out;
     out.configuration = configuration_version(static_cast<std::uint64_t>(in.configurationVersion));
-    out.serversRevision = object_version(static_cast<std::uint64_t>(in.serversAt));
-    out.instancesRevision = object_version(static_cast<std::uint64_t>(in.instancesAt));
+    out.serversRevision = position(in.serversEra, in.serversAt);
+    out.instancesRevision = position(in.instancesEra, in.instancesAt);
     if (in.__isset.askerAt)
         out.requesterAddress = parseEndpoint(in.askerAt);
     if (in.__isset.reports)
@@ -193,6 +215,8 @@
         out.__set_configuration(toWire(*snapshot.configuration));
     if (snapshot.serversRevision.value() != 0)
         out.__set_serversAt(static_cast<std::int64_t>(snapshot.serversRevision.value()));
+    if (hasEra(snapshot.serversRevision))
+        out.__set_serversEra(eraOf(snapshot.serversRevision));
     for (const auto &server : snapshot.servers)
         out.servers.push_back(toWire(server));
     if (snapshot.serversSince) {
@@ -201,6 +225,8 @@
     }
     if (snapshot.instancesRevision.value() != 0)
         out.__set_instancesAt(static_cast<std::int64_t>(snapshot.instancesRevision.value()));
+    if (hasEra(snapshot.instancesRevision))
+        out.__set_instancesEra(eraOf(snapshot.instancesRevision));
     for (const auto &instance : snapshot.instances)
         out.instances.push_back(toWire(instance));
     if (snapshot.compressedServers)
@@ -211,6 +237,8 @@
         out.__set_hints(toWire(snapshot.hints));
     if (snapshot.evacuations) {
         out.__set_evacuationsAt(static_cast<std::int64_t>(snapshot.evacuations->revision.value()));
+        if (hasEra(snapshot.evacuations->revision))
+            out.__set_evacuationsEra(eraOf(snapshot.evacuations->revision));
         std::vector<std::string> names;
         for (const auto &dataCentre : snapshot.evacuations->dataCentres)
             names.push_back(dataCentre.value());
@@ -232,16 +260,15 @@
     }
     if (in.__isset.configuration)
         out.configuration = fromWire(in.configuration, kinds.configuration);
-    if (in.__isset.serversAt)
-        out.serversRevision = object_version(static_cast<std::uint64_t>(in.serversAt));
+    out.serversRevision = position(in.serversEra, in.__isset.serversAt ? in.serversAt : 0);
     for (const auto &server : in.servers)
         out.servers.push_back(fromWire(server, kinds.servers));
     if (in.__isset.serversSince) {
-        out.serversSince = object_version(static_cast<std::uint64_t>(in.serversSince));
+        out.serversSince = position(in.serversEra, in.serversSince);
         out.removedServers = in.goneServers;
     }
     if (in.__isset.instancesAt)
-        out.instancesRevision = object_version(static_cast<std::uint64_t>(in.instancesAt));
+        out.instancesRevision = position(in.instancesEra, in.instancesAt);
     for (const auto &instance : in.instances)
         out.instances.push_back(fromWire(instance, kinds.instances));
     if (in.__isset.compressedServers) {
@@ -254,7 +281,7 @@
         out.hints = fromWire(in.hints);
     if (in.__isset.evacuationsAt) {
         out.evacuations.emplace();
-        out.evacuations->revision = object_version(static_cast<std::uint64_t>(in.evacuationsAt));
+        out.evacuations->revision = position(in.evacuationsEra, in.evacuationsAt);
         for (const auto &name : in.evacuated)
             out.evacuations->dataCentres.insert(data_centre_id(name));
     }
--- a/lib/gateway/view_exchange.cpp
+++ b/lib/gateway/view_exchange.cpp
@@ -39,7 +39,8 @@
 
 void leaveOutServers(view_snapshot &view)
 {
-    view.serversRevision = object_version();
+    // The era tells how recent the view is, also without the servers.
+    view.serversRevision = object_version(view.serversRevision.era(), 0);
     view.serversSince.reset();
     view.servers.clear();
     view.removedServers.clear();
--- a/lib/peer/gen/peer_types.cpp
+++ b/lib/peer/gen/peer_types.cpp
@@ -2010,6 +2010,16 @@
   this->readsCompressedLists = val;
 __isset.readsCompressedLists = true;
 }
+
+void ViewRequest::__set_serversEra(const int64_t val) {
+  this->serversEra = val;
+__isset.serversEra = true;
+}
+
+void ViewRequest::__set_instancesEra(const int64_t val) {
+  this->instancesEra = val;
+__isset.instancesEra = true;
+}
 std::ostream& operator<<(std::ostream& out, const ViewRequest& obj)
 {
   obj.printTo(out);
@@ -2109,6 +2119,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->serversEra);
+          this->__isset.serversEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->instancesEra);
+          this->__isset.instancesEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2172,6 +2198,16 @@
     xfer += oprot->writeBool(this->readsCompressedLists);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.serversEra) {
+    xfer += oprot->writeFieldBegin("serversEra", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->serversEra);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.instancesEra) {
+    xfer += oprot->writeFieldBegin("instancesEra", ::apache::thrift::protocol::T_I64, 9);
+    xfer += oprot->writeI64(this->instancesEra);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2186,6 +2222,8 @@
   swap(a.reports, b.reports);
   swap(a.fetchesConfiguration, b.fetchesConfiguration);
   swap(a.readsCompressedLists, b.readsCompressedLists);
+  swap(a.serversEra, b.serversEra);
+  swap(a.instancesEra, b.instancesEra);
   swap(a.__isset, b.__isset);
 }
 
@@ -2197,6 +2235,8 @@
   reports = other66.reports;
   fetchesConfiguration = other66.fetchesConfiguration;
   readsCompressedLists = other66.readsCompressedLists;
+  serversEra = other66.serversEra;
+  instancesEra = other66.instancesEra;
   __isset = other66.__isset;
 }
 ViewRequest& ViewRequest::operator=(const ViewRequest& other67) {
@@ -2207,6 +2247,8 @@
   reports = other67.reports;
   fetchesConfiguration = other67.fetchesConfiguration;
   readsCompressedLists = other67.readsCompressedLists;
+  serversEra = other67.serversEra;
+  instancesEra = other67.instancesEra;
   __isset = other67.__isset;
   return *this;
 }
@@ -2220,6 +2262,8 @@
   out << ", " << "reports="; (__isset.reports ? (out << to_string(reports)) : (out << "<null>"));
   out << ", " << "fetchesConfiguration="; (__isset.fetchesConfiguration ? (out << to_string(fetchesConfiguration)) : (out << "<null>"));
   out << ", " << "readsCompressedLists="; (__isset.readsCompressedLists ? (out << to_string(readsCompressedLists)) : (out << "<null>"));
+  out << ", " << "serversEra="; (__isset.serversEra ? (out << to_string(serversEra)) : (out << "<null>"));
+  out << ", " << "instancesEra="; (__isset.instancesEra ? (out << to_string(instancesEra)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2611,6 +2655,11 @@
 void ViewObject::__set_value(const std::string& val) {
   this->value = val;
 }
+
+void ViewObject::__set_era(const int64_t val) {
+  this->era = val;
+__isset.era = true;
+}
 std::ostream& operator<<(std::ostream& out, const ViewObject& obj)
 {
   obj.printTo(out);
@@ -2666,6 +2715,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2701,6 +2758,11 @@
   xfer += oprot->writeString(this->value);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.era) {
+    xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->era);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2711,17 +2773,23 @@
   swap(a.name, b.name);
   swap(a.version, b.version);
   swap(a.value, b.value);
+  swap(a.era, b.era);
+  swap(a.__isset, b.__isset);
 }
 
 ViewObject::ViewObject(const ViewObject& other72) {
   name = other72.name;
   version = other72.version;
   value = other72.value;
+  era = other72.era;
+  __isset = other72.__isset;
 }
 ViewObject& ViewObject::operator=(const ViewObject& other73) {
   name = other73.name;
   version = other73.version;
   value = other73.value;
+  era = other73.era;
+  __isset = other73.__isset;
   return *this;
 }
 void ViewObject::printTo(std::ostream& out) const {
@@ -2730,6 +2798,7 @@
   out << "name=" << to_string(name);
   out << ", " << "version=" << to_string(version);
   out << ", " << "value=" << to_string(value);
+  out << ", " << "era="; (__isset.era ? (out << to_string(era)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3035,6 +3104,21 @@
   this->evacuated = val;
 __isset.evacuated = true;
 }
+
+void ViewReply::__set_serversEra(const int64_t val) {
+  this->serversEra = val;
+__isset.serversEra = true;
+}
+
+void ViewReply::__set_instancesEra(const int64_t val) {
+  this->instancesEra = val;
+__isset.instancesEra = true;
+}
+
+void ViewReply::__set_evacuationsEra(const int64_t val) {
+  this->evacuationsEra = val;
+__isset.evacuationsEra = true;
+}
 std::ostream& operator<<(std::ostream& out, const ViewReply& obj)
 {
   obj.printTo(out);
@@ -3247,6 +3331,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->serversEra);
+          this->__isset.serversEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->instancesEra);
+          this->__isset.instancesEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->evacuationsEra);
+          this->__isset.evacuationsEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3383,6 +3491,21 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.serversEra) {
+    xfer += oprot->writeFieldBegin("serversEra", ::apache::thrift::protocol::T_I64, 16);
+    xfer += oprot->writeI64(this->serversEra);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.instancesEra) {
+    xfer += oprot->writeFieldBegin("instancesEra", ::apache::thrift::protocol::T_I64, 17);
+    xfer += oprot->writeI64(this->instancesEra);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.evacuationsEra) {
+    xfer += oprot->writeFieldBegin("evacuationsEra", ::apache::thrift::protocol::T_I64, 18);
+    xfer += oprot->writeI64(this->evacuationsEra);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3405,6 +3528,9 @@
   swap(a.compressedInstances, b.compressedInstances);
   swap(a.evacuationsAt, b.evacuationsAt);
   swap(a.evacuated, b.evacuated);
+  swap(a.serversEra, b.serversEra);
+  swap(a.instancesEra, b.instancesEra);
+  swap(a.evacuationsEra, b.evacuationsEra);
   swap(a.__isset, b.__isset);
 }
 
@@ -3424,6 +3550,9 @@
   compressedInstances = other114.compressedInstances;
   evacuationsAt = other114.evacuationsAt;
   evacuated = other114.evacuated;
+  serversEra = other114.serversEra;
+  instancesEra = other114.instancesEra;
+  evacuationsEra = other114.evacuationsEra;
   __isset = other114.__isset;
 }
 ViewReply& ViewReply::operator=(const ViewReply& other115) {
@@ -3442,6 +3571,9 @@
   compressedInstances = other115.compressedInstances;
   evacuationsAt = other115.evacuationsAt;
   evacuated = other115.evacuated;
+  serversEra = other115.serversEra;
+  instancesEra = other115.instancesEra;
+  evacuationsEra = other115.evacuationsEra;
   __isset = other115.__isset;
   return *this;
 }
@@ -3463,6 +3595,9 @@
   out << ", " << "compressedInstances="; (__isset.compressedInstances ? (out << to_string(compressedInstances)) : (out << "<null>"));
   out << ", " << "evacuationsAt="; (__isset.evacuationsAt ? (out << to_string(evacuationsAt)) : (out << "<null>"));
   out << ", " << "evacuated="; (__isset.evacuated ? (out << to_string(evacuated)) : (out << "<null>"));
+  out << ", " << "serversEra="; (__isset.serversEra ? (out << to_string(serversEra)) : (out << "<null>"));
+  out << ", " << "instancesEra="; (__isset.instancesEra ? (out << to_string(instancesEra)) : (out << "<null>"));
+  out << ", " << "evacuationsEra="; (__isset.evacuationsEra ? (out << to_string(evacuationsEra)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3667,6 +3802,11 @@
 void ConfigurationReply::__set_holders(const std::vector<std::string> & val) {
   this->holders = val;
 }
+
+void ConfigurationReply::__set_era(const int64_t val) {
+  this->era = val;
+__isset.era = true;
+}
 std::ostream& operator<<(std::ostream& out, const ConfigurationReply& obj)
 {
   obj.printTo(out);
@@ -3788,6 +3928,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3867,6 +4015,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.era) {
+    xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 10);
+    xfer += oprot->writeI64(this->era);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3883,6 +4036,8 @@
   swap(a.offset, b.offset);
   swap(a.chunk, b.chunk);
   swap(a.holders, b.holders);
+  swap(a.era, b.era);
+  swap(a.__isset, b.__isset);
 }
 
 ConfigurationReply::ConfigurationReply(const ConfigurationReply& other124) {
@@ -3895,6 +4050,8 @@
   offset = other124.offset;
   chunk = other124.chunk;
   holders = other124.holders;
+  era = other124.era;
+  __isset = other124.__isset;
 }
 ConfigurationReply& ConfigurationReply::operator=(const ConfigurationReply& other125) {
   version = other125.version;
@@ -3906,6 +4063,8 @@
   offset = other125.offset;
   chunk = other125.chunk;
   holders = other125.holders;
+  era = other125.era;
+  __isset = other125.__isset;
   return *this;
 }
 void ConfigurationReply::printTo(std::ostream& out) const {
@@ -3920,6 +4079,7 @@
   out << ", " << "offset=" << to_string(offset);
   out << ", " << "chunk=" << to_string(chunk);
   out << ", " << "holders=" << to_string(holders);
+  out << ", " << "era="; (__isset.era ? (out << to_string(era)) : (out << "<null>"));
   out << ")";
 }
 
--- a/lib/peer/gen/peer_types.h
+++ b/lib/peer/gen/peer_types.h
@@ -677,11 +677,13 @@
 std::ostream& operator<<(std::ostream& out, const RelayCancel& obj);
 
 typedef struct _ViewRequest__isset {
-  _ViewRequest__isset() : askerAt(false), reports(false), fetchesConfiguration(false), readsCompressedLists(false) {}
+  _ViewRequest__isset() : askerAt(false), reports(false), fetchesConfiguration(false), readsCompressedLists(false), serversEra(false), instancesEra(false) {}
   bool askerAt :1;
   bool reports :1;
   bool fetchesConfiguration :1;
   bool readsCompressedLists :1;
+  bool serversEra :1;
+  bool instancesEra :1;
 } _ViewRequest__isset;
 
 class ViewRequest : public virtual ::apache::thrift::TBase {
@@ -695,7 +697,9 @@
                 instancesAt(0),
                 askerAt(),
                 fetchesConfiguration(0),
-                readsCompressedLists(0) {
+                readsCompressedLists(0),
+                serversEra(0),
+                instancesEra(0) {
   }
 
   virtual ~ViewRequest() noexcept;
@@ -706,6 +710,8 @@
   std::vector<ServerReport>  reports;
   bool fetchesConfiguration;
   bool readsCompressedLists;
+  int64_t serversEra;
+  int64_t instancesEra;
 
   _ViewRequest__isset __isset;
 
@@ -723,6 +729,10 @@
 
   void __set_readsCompressedLists(const bool val);
 
+  void __set_serversEra(const int64_t val);
+
+  void __set_instancesEra(const int64_t val);
+
   bool operator == (const ViewRequest & rhs) const
   {
     if (!(configurationVersion == rhs.configurationVersion))
@@ -747,6 +757,14 @@
       return false;
     else if (__isset.readsCompressedLists && !(readsCompressedLists == rhs.readsCompressedLists))
       return false;
+    if (__isset.serversEra != rhs.__isset.serversEra)
+      return false;
+    else if (__isset.serversEra && !(serversEra == rhs.serversEra))
+      return false;
+    if (__isset.instancesEra != rhs.__isset.instancesEra)
+      return false;
+    else if (__isset.instancesEra && !(instancesEra == rhs.instancesEra))
+      return false;
     return true;
   }
   bool operator != (const ViewRequest &rhs) const {
@@ -903,6 +921,10 @@
 
 std::ostream& operator<<(std::ostream& out, const ServerHint& obj);
 
+typedef struct _ViewObject__isset {
+  _ViewObject__isset() : era(false) {}
+  bool era :1;
+} _ViewObject__isset;
 
 class ViewObject : public virtual ::apache::thrift::TBase {
  public:
@@ -912,13 +934,17 @@
   ViewObject() noexcept
              : name(),
                version(0),
-               value() {
+               value(),
+               era(0) {
   }
 
   virtual ~ViewObject() noexcept;
   std::string name;
   int64_t version;
   std::string value;
+  int64_t era;
+
+  _ViewObject__isset __isset;
 
   void __set_name(const std::string& val);
 
@@ -926,6 +952,8 @@
 
   void __set_value(const std::string& val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const ViewObject & rhs) const
   {
     if (!(name == rhs.name))
@@ -934,6 +962,10 @@
       return false;
     if (!(value == rhs.value))
       return false;
+    if (__isset.era != rhs.__isset.era)
+      return false;
+    else if (__isset.era && !(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const ViewObject &rhs) const {
@@ -1032,7 +1064,7 @@
 std::ostream& operator<<(std::ostream& out, const CompressedObjects& obj);
 
 typedef struct _ViewReply__isset {
-  _ViewReply__isset() : configuration(false), serversAt(false), instancesAt(false), hints(false), serversSince(false), goneServers(false), configurationVersion(false), compressedServers(false), compressedInstances(false), evacuationsAt(false), evacuated(false) {}
+  _ViewReply__isset() : configuration(false), serversAt(false), instancesAt(false), hints(false), serversSince(false), goneServers(false), configurationVersion(false), compressedServers(false), compressedInstances(false), evacuationsAt(false), evacuated(false), serversEra(false), instancesEra(false), evacuationsEra(false) {}
   bool configuration :1;
   bool serversAt :1;
   bool instancesAt :1;
@@ -1044,6 +1076,9 @@
   bool compressedInstances :1;
   bool evacuationsAt :1;
   bool evacuated :1;
+  bool serversEra :1;
+  bool instancesEra :1;
+  bool evacuationsEra :1;
 } _ViewReply__isset;
 
 class ViewReply : public virtual ::apache::thrift::TBase {
@@ -1058,7 +1093,10 @@
               missingForMs(0),
               serversSince(0),
               configurationVersion(0),
-              evacuationsAt(0) {
+              evacuationsAt(0),
+              serversEra(0),
+              instancesEra(0),
+              evacuationsEra(0) {
   }
 
   virtual ~ViewReply() noexcept;
@@ -1077,6 +1115,9 @@
   CompressedObjects compressedInstances;
   int64_t evacuationsAt;
   std::vector<std::string>  evacuated;
+  int64_t serversEra;
+  int64_t instancesEra;
+  int64_t evacuationsEra;
 
   _ViewReply__isset __isset;
 
@@ -1110,6 +1151,12 @@
 
   void __set_evacuated(const std::vector<std::string> & val);
 
+  void __set_serversEra(const int64_t val);
+
+  void __set_instancesEra(const int64_t val);
+
+  void __set_evacuationsEra(const int64_t val);
+
   bool operator == (const ViewReply & rhs) const
   {
     if (__isset.configuration != rhs.__isset.configuration)
@@ -1164,6 +1211,18 @@
       return false;
     else if (__isset.evacuated && !(evacuated == rhs.evacuated))
       return false;
+    if (__isset.serversEra != rhs.__isset.serversEra)
+      return false;
+    else if (__isset.serversEra && !(serversEra == rhs.serversEra))
+      return false;
+    if (__isset.instancesEra != rhs.__isset.instancesEra)
+      return false;
+    else if (__isset.instancesEra && !(instancesEra == rhs.instancesEra))
+      return false;
+    if (__isset.evacuationsEra != rhs.__isset.evacuationsEra)
+      return false;
+    else if (__isset.evacuationsEra && !(evacuationsEra == rhs.evacuationsEra))
+      return false;
     return true;
   }
   bool operator != (const ViewReply &rhs) const {
@@ -1237,6 +1296,10 @@
 
 std::ostream& operator<<(std::ostream& out, const ConfigurationRequest& obj);
 
+typedef struct _ConfigurationReply__isset {
+  _ConfigurationReply__isset() : era(false) {}
+  bool era :1;
+} _ConfigurationReply__isset;
 
 class ConfigurationReply : public virtual ::apache::thrift::TBase {
  public:
@@ -1251,7 +1314,8 @@
                        documentBytes(0),
                        documentChecksum(0),
                        offset(0),
-                       chunk() {
+                       chunk(),
+                       era(0) {
   }
 
   virtual ~ConfigurationReply() noexcept;
@@ -1264,6 +1328,9 @@
   int32_t offset;
   std::string chunk;
   std::vector<std::string>  holders;
+  int64_t era;
+
+  _ConfigurationReply__isset __isset;
 
   void __set_version(const int64_t val);
 
@@ -1283,6 +1350,8 @@
 
   void __set_holders(const std::vector<std::string> & val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const ConfigurationReply & rhs) const
   {
     if (!(version == rhs.version))
@@ -1303,6 +1372,10 @@
       return false;
     if (!(holders == rhs.holders))
       return false;
+    if (__isset.era != rhs.__isset.era)
+      return false;
+    else if (__isset.era && !(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const ConfigurationReply &rhs) const {
--- a/proto/peer.thrift
+++ b/proto/peer.thrift
@@ -104,6 +104,11 @@
   6: optional bool fetchesConfiguration
   // Set if the sender reads compressed lists.
   7: optional bool readsCompressedLists
+  // Eras of the store to which `serversAt` and `instancesAt` belong. An era that is absent is 0,
+  // here and below: earlier versions of the program send none, and so do those whose store states
+  // none.
+  8: optional i64 serversEra
+  9: optional i64 instancesEra
 }
 
 // Measurements of one server by one instance since its last report.
@@ -132,6 +137,7 @@
   1: required string name
   2: required i64 version
   3: required string value
+  4: optional i64 era
 }
 
 struct ViewObjects {
@@ -170,6 +176,11 @@
   // evacuate none, and from earlier versions of the program.
   14: optional i64 evacuationsAt
   15: optional list<string> evacuated
+  // Eras of the store to which `serversAt` and `serversSince`, `instancesAt`, and `evacuationsAt`
+  // belong.
+  16: optional i64 serversEra
+  17: optional i64 instancesEra
+  18: optional i64 evacuationsEra
 }
 
 // The body of `POST /peer/configuration`: requests one chunk of the newest configuration, which is
@@ -199,6 +210,8 @@
   8: required binary chunk
   // Addresses, as IP:PORT, of other instances that have this version.
   9: required list<string> holders
+  // Era of the store to which `revision` belongs.
+  10: optional i64 era
 }
 
 // What the sender has of the tokens of one team.
--- a/unittests/gateway/cluster_view_test.cpp
+++ b/unittests/gateway/cluster_view_test.cpp
@@ -49,6 +49,14 @@
 
     bool isKnown(const std::string &id) const { return present.count(server_id(id)) != 0; }
 
+    /// Writes so much that revisions of the copy's successors are given out twice.
+    void writeMuch()
+    {
+        constexpr int writes = 30;
+        for (int i = 0; i < writes; ++i)
+            store.write("servers", "busy", "s0");
+    }
+
     manual_loop loop;
     counter_set counters;
     decision_log log;
@@ -415,3 +423,41 @@
         EXPECT_EQ(receiver.services(), all.stored()) << round;
     }
 }
+
+// The copy holds an older configuration, and what the operator writes next has a lower revision
+// than the one in force: neither may keep the newest version from being in force.
+TEST_F(cluster_view_test, appliesOnlyNewerConfigurationsAfterAReturnOfTheStore)
+{
+    store.write("config", "main", "3");
+    const auto copy = store.takeCopy();
+    store.write("config", "main", "6");
+    writeMuch();
+    view.setWatching(true);
+    loop.advance(seconds(1));
+    store.returnFromCopy(copy);
+    loop.advance(seconds(3));
+    EXPECT_EQ(versions, std::vector<std::uint64_t>{6});
+    store.write("config", "main", "6");
+    store.write("config", "main", "9");
+    loop.advance(seconds(1));
+    EXPECT_EQ(versions, (std::vector<std::uint64_t>{6, 9}));
+}
+
+// An instance whose watcher has not learned of the return must not take its view for a recent one.
+TEST_F(cluster_view_test, doesNotAdoptTheAgeOfAViewFromBeforeAReturnOfTheStore)
+{
+    view_snapshot recent;
+    recent.serversRevision = object_version(store_era(2), 5);
+    view.merge(recent);
+    loop.advance(seconds(10));
+    view_snapshot former;
+    former.serversRevision = object_version(store_era(1), 60);
+    former.servers = {{{"servers", "a"}, object_version(store_era(1), 60), "s0"}};
+    view.merge(former);
+    EXPECT_GE(view.age(), seconds(10));
+    EXPECT_FALSE(isKnown("a"));
+    // A reply without lists states the era of its sender as well.
+    recent.serversRevision = object_version(store_era(2), 0);
+    view.merge(recent);
+    EXPECT_EQ(view.age(), duration::zero());
+}
--- a/unittests/gateway/scripted_store.h
+++ b/unittests/gateway/scripted_store.h
@@ -13,7 +13,15 @@
 /// A store whose lists, watches and faults the test controls.
 class scripted_store : public platform_client
 {
+    using object_map = std::map<std::string, std::map<std::string, platform_object>>;
+
 public:
+    struct copy
+    {
+        object_map objects;
+        object_version revision;
+    };
+
     explicit scripted_store(event_loop &loop)
         : m_loop(loop)
     {
@@ -23,6 +31,7 @@
     void put(const object_key &key, const std::string &value, write_condition,
              hook<object_version> done) override
     {
+        writeTimes.push_back(m_loop.now());
         runDelayed([this, key, value, done] {
             write(key.kind, key.name, value);
             done(revision);
@@ -86,18 +95,34 @@
 
     void write(const std::string &kind, const std::string &name, const std::string &value)
     {
-        revision = object_version(revision.value() + 1);
+        revision = object_version(revision.era(), revision.value() + 1);
         objects[kind][name] = {{kind, name}, revision, value};
     }
 
     void erase(const std::string &kind, const std::string &name)
     {
-        revision = object_version(revision.value() + 1);
+        revision = object_version(revision.era(), revision.value() + 1);
         objects[kind].erase(name);
         removals.emplace_back(revision, object_key{kind, name});
     }
 
-    std::map<std::string, std::map<std::string, platform_object>> objects;
+    copy takeCopy() const { return {objects, revision}; }
+
+    /// Loses what was written since \p earlier, begins a new era and gives revisions out again.
+    void returnFromCopy(const copy &earlier)
+    {
+        const store_era era(revision.era().value() + 1);
+        objects = earlier.objects;
+        for (auto &[kind, all] : objects) {
+            for (auto &[name, object] : all)
+                object.version = object_version(era, object.version.value());
+        }
+        removals.clear();
+        revision = object_version(era, earlier.revision.value());
+        compactedBefore = revision;
+    }
+
+    object_map objects;
     std::vector<std::pair<object_version, object_key>> removals;
     object_version revision{10};
     /// Watches from before this revision are told that the history was compacted and have to list
@@ -107,6 +132,8 @@
     bool dropsReplies = false;
     int listCalls = 0;
     int watchCalls = 0;
+    /// When instances called for a write.
+    std::vector<time_point> writeTimes;
 
 private:
     void runDelayed(event_loop::task fn)
--- a/unittests/gateway/view_sharing_test.cpp
+++ b/unittests/gateway/view_sharing_test.cpp
@@ -111,6 +111,41 @@
     EXPECT_EQ(changes.value().removedServers, view.removedServers);
 }
 
+// Without eras on the wire, instances would compare revisions from before and after a return of the
+// store. Messages of earlier versions of the program state none, which counts as era 0.
+TEST(view_codec, roundTripsEras)
+{
+    const auto at = [](std::uint64_t era, std::uint64_t revision) {
+        return object_version(store_era(era), revision);
+    };
+    view_snapshot view;
+    view.configuration = platform_object{{"c", "main"}, at(2, 7), "{}"};
+    view.serversRevision = at(3, 11);
+    view.serversSince = at(3, 9);
+    view.servers = {{{"s", "a"}, at(1, 60), "{}"}, {{"s", "b"}, object_version(4), "{}"}};
+    view.instancesRevision = at(2, 12);
+    view.evacuations = evacuation_list{at(5, 1), {}};
+    const auto read = decodeSnapshot(encodeSnapshot(view), {"c", "s", "i"});
+    ASSERT_TRUE(read) << read.error().message;
+    EXPECT_EQ(read.value().configuration->version, at(2, 7));
+    EXPECT_EQ(read.value().serversRevision, at(3, 11));
+    EXPECT_EQ(read.value().serversSince, at(3, 9));
+    EXPECT_EQ(read.value().servers[0].version, at(1, 60));
+    EXPECT_EQ(read.value().servers[1].version, object_version(4));
+    EXPECT_EQ(read.value().instancesRevision, at(2, 12));
+    EXPECT_EQ(read.value().evacuations->revision, at(5, 1));
+    view_position position;
+    position.serversRevision = at(3, 11);
+    position.instancesRevision = at(2, 12);
+    const auto asked = decodePosition(encodePosition(position));
+    ASSERT_TRUE(asked);
+    EXPECT_EQ(asked.value().serversRevision, at(3, 11));
+    EXPECT_EQ(asked.value().instancesRevision, at(2, 12));
+    view.serversRevision = at(3, 0);
+    EXPECT_EQ(decodeSnapshot(encodeSnapshot(view), {"c", "s", "i"}).value().serversRevision,
+              at(3, 0));
+}
+
 TEST(view_codec, roundTripsCompressedLists)
 {
     view_snapshot view;
