Do not let the store's return bring back servers that have left

The copy from which the store returns holds servers as they were: a server that had announced its end stands there as ready, one that had left is there again, one that has started anew under its id appears with its former run. The first list of the new era put them back into use, until the servers had written again.

Between eras, entries of servers are now ordered by what servers state of themselves: a later start, the leaving of a run, a higher report number. An entry of a server that had left is not used if the server had announced its end, and otherwise held back for 5 s, longer than the three heartbeats after which the store removes an entry that nobody renews. A server that only was missing is used at once if it reports or starts anew.

--- a/include/peridotwheel/gateway/backend_record.h
+++ b/include/peridotwheel/gateway/backend_record.h
@@ -3,6 +3,7 @@
 
 #include "peridotwheel/http/http_message.h"
 #include "peridotwheel/support/ids.h"
+#include "peridotwheel/support/strong_id.h"
 #include "peridotwheel/support/units.h"
 
 #include <cstdint>
@@ -11,6 +12,9 @@
 
 namespace peridotwheel {
 
+/// Number of a server's report on itself; rises from report to report of one run.
+using report_number = strong_id<struct report_number_tag, std::uint64_t>;
+
 /// A backend server as described by its entry in the store.
 struct backend_record
 {
@@ -26,6 +30,8 @@
     bool draining = false;
     /// Remaining time for which the server is slow after its start.
     duration coldRemaining{};
+    /// Report that the entry holds; differs between entries that are otherwise equal.
+    report_number report;
 
     friend bool operator==(const backend_record &a, const backend_record &b)
     {
@@ -36,6 +42,17 @@
     friend bool operator!=(const backend_record &a, const backend_record &b) { return !(a == b); }
 };
 
+/// Returns whether \p entry is what a server reported before \p known. A later run replaces an
+/// earlier one, and a run that is about to shut down stays so.
+inline bool isEarlierReport(const backend_record &entry, const backend_record &known)
+{
+    if (entry.start != known.start)
+        return entry.start < known.start;
+    if (entry.draining != known.draining)
+        return known.draining;
+    return entry.report < known.report;
+}
+
 using backend_map = std::map<server_id, backend_record>;
 
 } // namespace peridotwheel
--- a/include/peridotwheel/gateway/cluster_view.h
+++ b/include/peridotwheel/gateway/cluster_view.h
@@ -85,11 +85,19 @@
 /// documents arrive. Entries of servers may expire during an outage of the store although the
 /// servers still run, so servers that are missing after an outage are removed only if they are
 /// still missing after a grace period.
+///
+/// The store may return from an earlier copy of its objects, whereupon servers and operators write
+/// again what they had written since. Until they have, the view stays as it was: the first list of
+/// a new era replaces it, except that a server's entry never gives way to an earlier report of the
+/// server, and that a server which had left is not used again because the copy contains it.
 class cluster_view
 {
 public:
     /// Running servers have registered again within this time after the store's return.
     static constexpr duration reregistrationGrace = milliseconds(2200);
+    /// An entry in the copy of a server that had left is not used for this long, which exceeds the
+    /// three heartbeats after which the store removes the entry of a server that is gone.
+    static constexpr duration removalGrace = seconds(5);
     /// Reads that fail for at least this long count as an outage of the store.
     static constexpr duration outageThreshold = seconds(1);
 
@@ -133,6 +141,11 @@
     void store(const platform_object &object);
     void onStoreReturned(object_version position);
     void applyServer(const platform_object &object);
+    bool isOutdated(const platform_object &object, const platform_object &known) const;
+    /// Holds back the entry of a server that had left before the store returned from a copy;
+    /// returns whether it does.
+    bool holdBack(const platform_object &object);
+    void releaseHeldBack();
     void logPassedOver(const char *event, const platform_object &object, object_version known,
                        std::string_view source);
     void removeUnlistedServers(const watch_result &list);
@@ -162,7 +175,16 @@
     /// Revisions at which this instance saw servers change or disappear; never earlier than the
     /// actual change.
     std::map<std::string, object_version> m_changedAt;
-    std::map<std::string, object_version> m_removedAt;
+    struct removed_server
+    {
+        object_version at;
+        /// Last report, if the server was known here.
+        std::optional<backend_record> last;
+    };
+    std::map<std::string, removed_server> m_removed;
+    /// Entries held back until `removalGrace` has passed.
+    std::map<std::string, platform_object> m_heldBack;
+    timer m_releaseTimer;
     /// Changes after this revision are recorded individually.
     object_version m_historyStart;
     bool m_serversChanged = false;
--- a/lib/gateway/cluster_view.cpp
+++ b/lib/gateway/cluster_view.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace peridotwheel {
 
@@ -184,14 +185,63 @@
     }
 }
 
+bool cluster_view::isOutdated(const platform_object &object, const platform_object &known) const
+{
+    if (object.version.era() == known.version.era())
+        return object.version < known.version;
+    const auto record = m_documents.readServer(object);
+    const auto it = m_servers.find(server_id(object.key.name));
+    if (record && it != m_servers.end()) {
+        if (isEarlierReport(record.value(), it->second))
+            return true;
+        if (isEarlierReport(it->second, record.value()))
+            return false;
+    }
+    return object.version < known.version;
+}
+
+bool cluster_view::holdBack(const platform_object &object)
+{
+    const auto removed = m_removed.find(object.key.name);
+    const bool isFromLaterEra = removed != m_removed.end() && removed->second.last &&
+                                removed->second.at.era() < object.version.era();
+    if (!isFromLaterEra)
+        return false;
+    const auto record = m_documents.readServer(object);
+    if (!record || isEarlierReport(*removed->second.last, record.value()))
+        return false;
+    if (m_heldBack.insert_or_assign(object.key.name, object).second)
+        m_log.decision("server_entry_held_back").add("server", object.key.name);
+    if (!m_releaseTimer)
+        m_releaseTimer = m_loop.schedule(removalGrace, [this] { releaseHeldBack(); });
+    return true;
+}
+
+void cluster_view::releaseHeldBack()
+{
+    m_releaseTimer.cancel();
+    for (const auto &[name, object] : std::exchange(m_heldBack, {})) {
+        // A run that announced its end has ended, whatever the store holds.
+        if (m_removed.at(name).last->draining)
+            continue;
+        m_removed.erase(name);
+        applyServer(object);
+    }
+    publishServers();
+}
+
 void cluster_view::applyServer(const platform_object &object)
 {
+    const bool isKnown = m_serverObjects.count(object.key.name) != 0;
+    if (!isKnown && holdBack(object))
+        return;
     platform_object &known = m_serverObjects[object.key.name];
-    if (!known.key.name.empty() && object.version < known.version)
+    if (isKnown && isOutdated(object, known))
         return logPassedOver("server_entry_passed_over", object, known.version, "");
     const bool isUnchanged = known.value == object.value;
     known = object;
-    const bool isReregistered = m_removedAt.erase(object.key.name) > 0;
+    const bool isReregistered = m_removed.erase(object.key.name) > 0;
+    m_heldBack.erase(object.key.name);
     m_missing.erase(object.key.name);
     if (isReregistered)
         m_changedAt[object.key.name] = object.version;
@@ -227,14 +277,21 @@
 
 void cluster_view::recordRemoval(const std::string &name)
 {
-    m_removedAt[name] = m_serversRevision;
-    if (m_removedAt.size() <= maxRememberedRemovals)
+    m_heldBack.erase(name);
+    removed_server &removed = m_removed[name];
+    removed.at = m_serversRevision;
+    const auto it = m_servers.find(server_id(name));
+    if (it != m_servers.end())
+        removed.last = it->second;
+    if (m_removed.size() <= maxRememberedRemovals)
         return;
     const auto oldest =
-            std::min_element(m_removedAt.begin(), m_removedAt.end(),
-                             [](const auto &a, const auto &b) { return a.second < b.second; });
-    m_historyStart = std::max(m_historyStart, oldest->second);
-    m_removedAt.erase(oldest);
+            std::min_element(m_removed.begin(), m_removed.end(), [](const auto &a, const auto &b) {
+                return a.second.at < b.second.at;
+            });
+    m_historyStart = std::max(m_historyStart, oldest->second.at);
+    m_heldBack.erase(oldest->first);
+    m_removed.erase(oldest);
 }
 
 void cluster_view::removeServer(const std::string &name)
@@ -268,6 +325,8 @@
     }
     for (const auto &name : unlisted)
         handleServerRemoval(name);
+    for (auto it = m_heldBack.begin(); it != m_heldBack.end();)
+        it = present.count(it->first) == 0 ? m_heldBack.erase(it) : std::next(it);
 }
 
 void cluster_view::onStoreReturned(object_version position)
@@ -336,8 +395,8 @@
         if (isChanged && m_missing.count(name) == 0)
             s.servers.push_back(object);
     }
-    for (const auto &[name, at] : m_removedAt) {
-        if (s.serversSince && at > known)
+    for (const auto &[name, removed] : m_removed) {
+        if (s.serversSince && removed.at > known)
             s.removedServers.push_back(name);
     }
     if (!m_missing.empty())
--- a/unittests/gateway/cluster_view_test.cpp
+++ b/unittests/gateway/cluster_view_test.cpp
@@ -7,12 +7,14 @@
 #include "scripted_store.h"
 
 #include <gtest/gtest.h>
+#include <sstream>
 
 using namespace peridotwheel;
 
 namespace {
 
-/// A view whose configurations are version numbers and whose servers are "SERVICE" or "leaving".
+/// A view whose configurations are version numbers and whose servers are "SERVICE" or "leaving",
+/// with the number of the report and the start of the server if they matter.
 class cluster_view_test : public testing::Test
 {
 protected:
@@ -42,13 +44,19 @@
             return failure(error_kind::InvalidArgument, "empty");
         backend_record record;
         record.id = server_id(object.key.name);
-        record.service = service_name(object.value);
-        record.draining = object.value == "leaving";
+        std::istringstream in(object.value);
+        std::string service;
+        std::uint64_t report = 0;
+        std::uint64_t start = 0;
+        in >> service >> report >> start;
+        record.service = service_name(service);
+        record.draining = service == "leaving";
+        record.report = report_number(report);
+        record.start = start_id(start);
         return record;
     }
 
     bool isKnown(const std::string &id) const { return present.count(server_id(id)) != 0; }
-
     /// Writes so much that revisions of the copy's successors are given out twice.
     void writeMuch()
     {
@@ -443,6 +451,101 @@
     EXPECT_EQ(versions, (std::vector<std::uint64_t>{6, 9}));
 }
 
+// A server that announced its end must not get requests again because the copy knows it as ready.
+TEST_F(cluster_view_test, keepsAServerLeavingAfterAReturnOfTheStore)
+{
+    store.write("servers", "a", "s0 1");
+    const auto copy = store.takeCopy();
+    store.write("servers", "a", "leaving 2");
+    writeMuch();
+    view.setWatching(true);
+    loop.advance(seconds(1));
+    store.returnFromCopy(copy);
+    loop.advance(seconds(20));
+    EXPECT_TRUE(present.at(server_id("a")).draining);
+}
+
+// The entry of a server that had left stands in the copy again, although nobody renews it.
+TEST_F(cluster_view_test, usesNoServerThatLeftBeforeAReturnOfTheStore)
+{
+    store.write("servers", "left", "s0 1");
+    store.write("servers", "vanished", "s0 1");
+    const auto copy = store.takeCopy();
+    view.setWatching(true);
+    loop.advance(seconds(1));
+    store.write("servers", "left", "leaving 2");
+    loop.advance(seconds(1));
+    store.erase("servers", "left");
+    store.erase("servers", "vanished");
+    loop.advance(seconds(1));
+    store.returnFromCopy(copy);
+    loop.advance(seconds(4));
+    EXPECT_FALSE(isKnown("left"));
+    EXPECT_FALSE(isKnown("vanished"));
+    store.erase("servers", "vanished");
+    loop.advance(seconds(20));
+    EXPECT_FALSE(isKnown("left"));
+    EXPECT_FALSE(isKnown("vanished"));
+}
+
+// A server whose entry had only expired and stands in the copy unchanged must be used in the end,
+// and at once if it reports anew or started again.
+TEST_F(cluster_view_test, usesServersThatRunAlthoughTheyWereMissingBeforeAReturn)
+{
+    store.write("servers", "silent", "s0 1");
+    store.write("servers", "reporting", "s0 1");
+    store.write("servers", "restarted", "s0 7 1");
+    const auto copy = store.takeCopy();
+    view.setWatching(true);
+    loop.advance(seconds(1));
+    for (const char *name : {"silent", "reporting", "restarted"})
+        store.erase("servers", name);
+    loop.advance(seconds(1));
+    store.returnFromCopy(copy);
+    store.write("servers", "reporting", "s0 2");
+    store.write("servers", "restarted", "s0 1 2");
+    loop.advance(seconds(1));
+    EXPECT_TRUE(isKnown("reporting"));
+    EXPECT_TRUE(isKnown("restarted"));
+    EXPECT_FALSE(isKnown("silent"));
+    loop.advance(cluster_view::removalGrace);
+    EXPECT_TRUE(isKnown("silent"));
+}
+
+// Servers that registered after the copy was taken are missing from it until they register again.
+TEST_F(cluster_view_test, keepsServersThatAreMissingFromTheCopyOfAReturnedStore)
+{
+    const auto copy = store.takeCopy();
+    store.write("servers", "back", "s0 1");
+    store.write("servers", "gone", "s0 1");
+    writeMuch();
+    view.setWatching(true);
+    loop.advance(seconds(1));
+    store.returnFromCopy(copy);
+    loop.advance(seconds(2));
+    EXPECT_TRUE(isKnown("back"));
+    store.write("servers", "back", "s0 2");
+    loop.advance(seconds(2));
+    EXPECT_TRUE(isKnown("back"));
+    EXPECT_FALSE(isKnown("gone"));
+}
+
+// The copy may hold an earlier run of a server that has started again under its id since.
+TEST_F(cluster_view_test, takesNoEarlierRunOfAServerFromAReturnedStore)
+{
+    store.write("servers", "a", "s0 9 1");
+    const auto copy = store.takeCopy();
+    store.write("servers", "a", "s1 1 2");
+    view.setWatching(true);
+    loop.advance(seconds(1));
+    store.returnFromCopy(copy);
+    loop.advance(seconds(5));
+    EXPECT_EQ(present.at(server_id("a")).service.value(), "s1");
+    store.write("servers", "a", "s2 2 2");
+    loop.advance(seconds(1));
+    EXPECT_EQ(present.at(server_id("a")).service.value(), "s2");
+}
+
 // An instance whose watcher has not learned of the return must not take its view for a recent one.
 TEST_F(cluster_view_test, doesNotAdoptTheAgeOfAViewFromBeforeAReturnOfTheStore)
 {
