Count instances that are missing from the copy of a returned store

Instances that registered after the copy was taken are missing from the store when it returns. The watchers read the list at the latest 30 s later and then counted only those of the copy, so that the shares of connections to servers grew beyond the limits, and all instances that found their entry missing registered again at once.

Watchers now read the list soon after the era rises and again four seconds later; members that are missing count for two seconds more. Registrations are spread over 5 ms for each instance.

--- a/lib/gateway/instance_directory.cpp
+++ b/lib/gateway/instance_directory.cpp
@@ -23,6 +23,13 @@
 /// An instance that receives no list from a peer reads the store itself after this delay.
 constexpr duration noPeerReadAfter = seconds(3);
 constexpr duration retryDelay = seconds(1);
+/// After the store's return, the watchers read the list soon and again once all have registered.
+constexpr duration returnReadAfter = milliseconds(200);
+/// All instances find at once that they are missing from the store. One registration in this time
+/// keeps them below half of the writes that the store accepts.
+constexpr duration registrationSpacing = milliseconds(5);
+/// Less than the time until the second read after a return, which finds all that have registered.
+constexpr duration unlistedGrace = seconds(2);
 
 std::string textOf(const nlohmann::json &j, const char *field)
 {
@@ -104,6 +111,29 @@
     scheduleRead();
 }
 
+void instance_directory::onStoreReturned(store_era era)
+{
+    if (!m_reading || !m_hasBeenRead || era <= m_revision.era() || era <= m_requestedEra)
+        return;
+    m_requestedEra = era;
+    m_isSecondReadDue = true;
+    scheduleWithJitter(
+            returnReadAfter, [this] { readAll(); }, m_readTimer);
+}
+
+void instance_directory::scheduleRegistration()
+{
+    const auto slots = static_cast<double>(m_members.size());
+    m_registrationTimer = m_loop.schedule(scaled(registrationSpacing, slots * m_random.fraction()),
+                                          [this] { registerSelf(); });
+}
+
+void instance_directory::keepUnlistedMembers(const member_map &former)
+{
+    for (const auto &[id, m] : former)
+        m_members.emplace(id, m);
+}
+
 void instance_directory::scheduleWithJitter(duration delay, event_loop::task next, timer &slot)
 {
     // Jitter keeps instances that started together from calling the store together.
@@ -167,9 +197,16 @@
     };
     if (!std::equal(objects.begin(), objects.end(), m_objects.begin(), m_objects.end(), isSame))
         m_lastChangeRevision = revision;
+    if (m_revision.value() != 0 && revision.era() > m_revision.era()) {
+        m_keepUnlistedUntil = m_loop.now() + unlistedGrace;
+        m_log.state("instances_of_new_era")
+                .add("era", static_cast<std::int64_t>(revision.era().value()))
+                .add("listed", static_cast<std::int64_t>(objects.size()))
+                .add("known", static_cast<std::int64_t>(m_members.size()));
+    }
     m_objects = objects;
     m_revision = revision;
-    m_members.clear();
+    const member_map former = std::exchange(m_members, {});
     m_members.emplace(m_self.id, m_self);
     for (const auto &object : objects) {
         if (object.key.name == m_self.id.value()) {
@@ -186,8 +223,10 @@
         m_log.state("instance_entry_missing")
                 .add("at", static_cast<std::int64_t>(revision.value()));
         m_ownVersion.reset();
-        registerSelf();
+        scheduleRegistration();
     }
+    if (m_loop.now() < m_keepUnlistedUntil)
+        keepUnlistedMembers(former);
     m_onMembers(m_members);
 }
 
--- a/lib/gateway/instance_directory.h
+++ b/lib/gateway/instance_directory.h
@@ -23,7 +23,9 @@
 ///
 /// The object of an instance that crashed stays until another instance removes it. The shares of
 /// the others are smaller meanwhile, so every limit still holds. An instance whose object was
-/// removed while it was running registers again.
+/// removed while it was running registers again. After the store's return from an earlier copy, the
+/// members that are missing from the copy count until they had time to register again, so that the
+/// shares of the others do not grow meanwhile.
 class instance_directory
 {
 public:
@@ -47,6 +49,8 @@
     void setReading(bool reading);
     /// Takes over the list that another instance has read, if it is newer.
     void merge(const std::vector<platform_object> &objects, object_version revision);
+    /// Reads the store soon if this instance reads it and the list here is from an earlier era.
+    void onStoreReturned(store_era era);
     const std::vector<platform_object> &objects() const { return m_objects; }
     object_version revision() const { return m_revision; }
     /// Revision of the last list that differed from the one before.
@@ -62,6 +66,9 @@
 
 private:
     void registerSelf();
+    /// Registers again after a delay that keeps the writes of all instances below a rate.
+    void scheduleRegistration();
+    void keepUnlistedMembers(const member_map &former);
     void onRegistered(const result<object_version> &written);
     void readAll();
     void onRead(const result<watch_result> &read);
@@ -83,6 +90,10 @@
     bool m_isDeregistered = false;
     bool m_reading = false;
     bool m_isSecondReadDue = true;
+    /// Latest era whose list was requested because of the store's return.
+    store_era m_requestedEra;
+    /// Members that are not listed are kept until then.
+    time_point m_keepUnlistedUntil{};
     std::optional<object_version> m_ownVersion;
     timer m_registrationTimer;
     timer m_readTimer;
--- a/lib/gateway/view_exchange.cpp
+++ b/lib/gateway/view_exchange.cpp
@@ -124,6 +124,7 @@
     input.staleAge = m_staleAge;
     m_view.setWatching(shouldWatch(input));
     m_directory.setReading(m_view.isWatching());
+    m_directory.onStoreReturned(m_view.serversRevision().era());
     if (m_evacuations.setWatching)
         m_evacuations.setWatching(m_view.isWatching());
     // Without the store no entry can be removed, and an instance that is partitioned from the store
