Keep evacuations in force through the store's return from a copy

The copy lacks an evacuation that was written since. The instances took its list as it was, and sent requests to the servers of the evacuated data centre until the operator had written again.

Evacuations in force now stay, beside those of the copy, for as long as a change may take to apply. An evacuation whose removal the store states ends at once. lastsThroughAReturnOfTheStoreFromACopy failed before; an evacuation that nobody writes again still ends.

--- a/lib/gateway/evacuation_view.cpp
+++ b/lib/gateway/evacuation_view.cpp
@@ -9,7 +9,9 @@
 
 evacuation_view::evacuation_view(event_loop &loop, platform_client &store, counter_set &counters,
                                  decision_log &log, const settings &s, evacuations_hook onChanged)
-    : m_log(log)
+    : m_loop(loop)
+    , m_applyWithin(s.applyWithin)
+    , m_log(log)
     , m_onChanged(std::move(onChanged))
     , m_watch(loop, store, counters, s.kind, s.seed, viewWatchOptions(s.applyWithin), nullptr)
 {
@@ -28,14 +30,18 @@
 
 void evacuation_view::onRead(const watch_result &read, bool isFullList)
 {
+    if (m_list && read.next.era() < m_list->revision.era())
+        return;
     evacuation_list list;
     if (m_list && !isFullList)
         list = *m_list;
     list.revision = read.next;
     for (const auto &object : read.changed)
         list.dataCentres.insert(data_centre_id(object.key.name));
-    for (const auto &key : read.removed)
+    for (const auto &key : read.removed) {
         list.dataCentres.erase(data_centre_id(key.name));
+        m_kept.erase(data_centre_id(key.name));
+    }
     apply(std::move(list), "store");
 }
 
@@ -48,24 +54,41 @@
 void evacuation_view::apply(evacuation_list list, const char *source)
 {
     const bool isFirst = !m_list;
-    const std::set<data_centre_id> before =
-            m_list ? std::move(m_list->dataCentres) : std::set<data_centre_id>();
+    if (!isFirst && list.revision.era() > m_list->revision.era())
+        keepEvacuationsInForce();
     m_list = std::move(list);
-    if (!isFirst && m_list->dataCentres == before)
+    publish(source, isFirst);
+}
+
+void evacuation_view::keepEvacuationsInForce()
+{
+    m_kept = m_inForce;
+    m_keepTimer = m_loop.schedule(m_applyWithin, [this] {
+        m_kept.clear();
+        publish("store", false);
+    });
+}
+
+void evacuation_view::publish(const char *source, bool isFirst)
+{
+    std::set<data_centre_id> inForce = m_list->dataCentres;
+    inForce.insert(m_kept.begin(), m_kept.end());
+    const std::set<data_centre_id> before = std::exchange(m_inForce, inForce);
+    if (!isFirst && m_inForce == before)
         return;
-    for (const auto &dataCentre : m_list->dataCentres) {
+    for (const auto &dataCentre : m_inForce) {
         if (before.count(dataCentre) == 0)
             m_log.state("evacuation_begun")
                     .add("data_centre", dataCentre.value())
                     .add("source", source);
     }
     for (const auto &dataCentre : before) {
-        if (m_list->dataCentres.count(dataCentre) == 0)
+        if (m_inForce.count(dataCentre) == 0)
             m_log.state("evacuation_ended")
                     .add("data_centre", dataCentre.value())
                     .add("source", source);
     }
-    m_onChanged(m_list->dataCentres);
+    m_onChanged(m_inForce);
 }
 
 } // namespace peridotwheel
--- a/lib/gateway/evacuation_view.h
+++ b/lib/gateway/evacuation_view.h
@@ -17,7 +17,9 @@
 ///
 /// Read from the store by the instances that watch it, and taken over from their views by the
 /// others. A list that could not be read leaves the last one in force, so that an evacuation lasts
-/// through an outage of the store.
+/// through an outage of the store. After the store's return from an earlier copy, the evacuations
+/// in force stay beside those of the copy for as long as a change may take, in which operators
+/// write again what the copy lacks.
 class evacuation_view
 {
 public:
@@ -44,17 +46,26 @@
     void setWatching(bool watching);
     /// Takes over the list of another instance if it is newer.
     void merge(const evacuation_list &other);
-    /// Returns the list in force; absent until one is known.
+    /// Returns the list as read from the store; absent until one is known.
     const std::optional<evacuation_list> &list() const { return m_list; }
 
 private:
     void onRead(const watch_result &read, bool isFullList);
     void apply(evacuation_list list, const char *source);
+    void keepEvacuationsInForce();
+    /// Passes the evacuations in force on if they changed, or if these are the first known.
+    void publish(const char *source, bool isFirst);
 
+    event_loop &m_loop;
+    duration m_applyWithin;
     decision_log &m_log;
     evacuations_hook m_onChanged;
     object_watcher m_watch;
     std::optional<evacuation_list> m_list;
+    /// Evacuations from before the store's return that stay in force until the timer fires.
+    std::set<data_centre_id> m_kept;
+    timer m_keepTimer;
+    std::set<data_centre_id> m_inForce;
     bool m_isStarted = false;
 };
 
--- a/unittests/gateway/evacuation_test.cpp
+++ b/unittests/gateway/evacuation_test.cpp
@@ -248,3 +248,40 @@
     loop.advance(seconds(1));
     EXPECT_EQ(statusOf(client), 200);
 }
+
+// The copy of a returned store lacks a recent evacuation and holds an ended one. Guards against
+// requests to the evacuated data centre until the operator has written again.
+TEST_F(evacuation_exchange_test, lastsThroughAReturnOfTheStoreFromACopy)
+{
+    store.write(kind, "north", "{}");
+    const auto copy = store.takeCopy();
+    store.erase(kind, "north");
+    store.write(kind, "south", "{}");
+    loop.advance(seconds(2));
+    expectEvacuated({data_centre_id("south")});
+    store.returnFromCopy(copy);
+    for (int i = 0; i < 10; ++i) {
+        loop.advance(milliseconds(200));
+        for (const auto &each : all)
+            EXPECT_EQ(each->evacuated.count(data_centre_id("south")), 1U);
+    }
+    store.erase(kind, "north");
+    store.write(kind, "south", "{}");
+    loop.advance(seconds(2));
+    expectEvacuated({data_centre_id("south")});
+    // Taken back by the operator, it does not last because it was in force before the return.
+    store.erase(kind, "south");
+    loop.advance(seconds(4));
+    expectEvacuated({});
+}
+
+// An evacuation that nobody writes again has to end, or it would outlive the store's own state.
+TEST_F(evacuation_exchange_test, endsIfNobodyWritesItAgainAfterAReturnOfTheStore)
+{
+    const auto copy = store.takeCopy();
+    store.write(kind, "south", "{}");
+    loop.advance(seconds(2));
+    store.returnFromCopy(copy);
+    loop.advance(seconds(8));
+    expectEvacuated({});
+}
