Fetch the configuration of requesters that have been ahead for long

A watcher that restarts after the store's return finds the older configuration of the copy, served callers by it, and passed over that the instances which request its view state a newer one, until the operator had written again: its own view was recent, and only one with an old view asks back.

It now fetches the configuration from a requester that has been ahead for longer than a watch lasts. Nothing changes while the store supplies the newest version. supplyOfANewerConfigurationByARequester failed before.

--- a/lib/gateway/view_exchange.cpp
+++ b/lib/gateway/view_exchange.cpp
@@ -302,10 +302,9 @@
     // After a restart of many instances, no other instance may have the address of the requester,
     // which still has a view. If the view here is not stale, changes arrive through the regular
     // exchange.
-    if (requesterIsAhead && position.requesterAddress && viewAge() > m_staleAge) {
+    if (requesterIsAhead && position.requesterAddress && viewAge() > m_staleAge)
         requestViewBack(*position.requesterAddress);
-        m_configurationFetcher.announce(position.configuration, *position.requesterAddress);
-    }
+    fetchIfBehind(position);
     if (position.requesterAddress)
         m_configurationSource.recordHolder(*position.requesterAddress, position.configuration);
     view_snapshot all = m_view.snapshot(position.serversRevision);
@@ -329,6 +328,20 @@
     client.reply({200, {}, encodeSnapshot(all)});
 }
 
+void view_exchange::fetchIfBehind(const view_position &position)
+{
+    if (position.configuration <= m_view.version() || !position.requesterAddress)
+        return;
+    const time_point now = m_loop.now();
+    if (m_newestRequested <= m_view.version())
+        m_behindSince = now;
+    m_newestRequested = std::max(m_newestRequested, position.configuration);
+    // The store usually supplies the version by then. It does not after its return from a copy,
+    // which holds an older one until the operator writes again.
+    if (viewAge() > m_staleAge || now - m_behindSince >= m_freshAge)
+        m_configurationFetcher.announce(position.configuration, *position.requesterAddress);
+}
+
 void view_exchange::limitLists(view_snapshot &view)
 {
     m_compressor.compress(view);
--- a/lib/gateway/view_exchange.h
+++ b/lib/gateway/view_exchange.h
@@ -78,6 +78,8 @@
     /// Replies with the view. If the requester's view is newer and the one here is stale, also
     /// requests the requester's view.
     void sendView(const view_position &position, http_responder &client);
+    /// Fetches the requester's configuration if the one here has been older for long.
+    void fetchIfBehind(const view_position &position);
     /// Leaves the lists out of \p view if this instance has no bandwidth to spare for them. The
     /// requester then asks another instance as well.
     void limitLists(view_snapshot &view);
@@ -135,6 +137,9 @@
     link_share m_listLink;
     configuration_source m_configurationSource;
     configuration_fetcher m_configurationFetcher;
+    /// Newest version in force at a requester, and since when the one here is older.
+    configuration_version m_newestRequested;
+    time_point m_behindSince{};
     report_hooks m_reports;
     evacuation_hooks m_evacuations;
     std::function<void()> m_onPeerHeard;
--- a/unittests/gateway/store_return_test.cpp
+++ b/unittests/gateway/store_return_test.cpp
@@ -112,6 +112,40 @@
 
 INSTANTIATE_TEST_SUITE_P(sizes, store_return_fleet, testing::Values(9, 84, 295));
 
+// A watcher that restarts after the return finds an older configuration in the store than other
+// instances hold, and must not stay with it until the operator writes again.
+TEST(store_return, supplyOfANewerConfigurationByARequester)
+{
+    manual_loop loop;
+    scripted_store store(loop);
+    peer_network network(loop);
+    store.write("config", "main", "3");
+    store.write("servers", "a", "s0");
+    const auto copy = store.takeCopy();
+    const member_map members{{instance_id("a"), memberAt("a", 1)},
+                             {instance_id("b"), memberAt("b", 2)},
+                             {instance_id("c"), memberAt("c", 3)},
+                             {instance_id("d"), memberAt("d", 4)}};
+    std::map<instance_id, std::unique_ptr<instance>> all;
+    const auto start = [&](const member &m) {
+        all[m.id] = std::make_unique<instance>(loop, store, network, m);
+        all[m.id]->exchange->setMembers(members);
+        all[m.id]->exchange->start();
+    };
+    for (const auto &[id, m] : members)
+        start(m);
+    store.write("config", "main", "6");
+    loop.advance(seconds(3));
+    store.returnFromCopy(copy);
+    for (const auto &[id, m] : members) {
+        if (all[id]->view.isWatching())
+            start(m);
+    }
+    loop.advance(seconds(5));
+    for (const auto &[id, each] : all)
+        EXPECT_EQ(each->view.version().value(), 6U) << id.value();
+}
+
 // Guards against any order of writes, returns, outages and exchanges after which instances believe
 // something else than the store holds.
 TEST(store_return, leavesAllViewsEqualToTheStoreInAnyOrderOfEvents)
