Spread the registrations after a return by the number of all instances

If the copy lacked most instances, they spread their registrations by the few that it holds, and the time for which missing members count did not grow with the fleet: at 5,300 instances registrations take 26 s, the members were to count for 2 s. Both now follow from the members known before; an entry that is missing for another reason is registered at once, as before the returns were handled. Found by reading; the tests of store_return_fleet (9, 84 and 295 instances) pass before and after.

--- a/lib/gateway/instance_directory.cpp
+++ b/lib/gateway/instance_directory.cpp
@@ -28,7 +28,8 @@
 /// All instances find at once that they are missing from the store. One registration in this time
 /// keeps them below half of the writes that the store accepts.
 constexpr duration registrationSpacing = milliseconds(5);
-/// Less than the time until the second read after a return, which finds all that have registered.
+/// Time from the first list after a return until all instances have learned of it, beside the time
+/// in which they register.
 constexpr duration unlistedGrace = seconds(2);
 
 std::string textOf(const nlohmann::json &j, const char *field)
@@ -121,10 +122,14 @@
             returnReadAfter, [this] { readAll(); }, m_readTimer);
 }
 
+duration instance_directory::registrationTime() const
+{
+    return scaled(registrationSpacing, static_cast<double>(m_members.size()));
+}
+
 void instance_directory::scheduleRegistration()
 {
-    const auto slots = static_cast<double>(m_members.size());
-    m_registrationTimer = m_loop.schedule(scaled(registrationSpacing, slots * m_random.fraction()),
+    m_registrationTimer = m_loop.schedule(scaled(registrationTime(), m_random.fraction()),
                                           [this] { registerSelf(); });
 }
 
@@ -198,7 +203,7 @@
     if (!std::equal(objects.begin(), objects.end(), m_objects.begin(), m_objects.end(), isSame))
         m_lastChangeRevision = revision;
     if (m_revision.value() != 0 && revision.era() > m_revision.era()) {
-        m_keepUnlistedUntil = m_loop.now() + unlistedGrace;
+        m_keepUnlistedUntil = m_loop.now() + unlistedGrace + registrationTime();
         m_log.state("instances_of_new_era")
                 .add("era", static_cast<std::int64_t>(revision.era().value()))
                 .add("listed", static_cast<std::int64_t>(objects.size()))
@@ -217,16 +222,20 @@
         if (auto m = memberOf(object))
             m_members.emplace(m->id, std::move(*m));
     }
+    if (m_loop.now() < m_keepUnlistedUntil)
+        keepUnlistedMembers(former);
     const bool wasRemoved =
             !hasOwn && m_ownVersion && *m_ownVersion <= revision && !m_isDeregistered;
     if (wasRemoved) {
         m_log.state("instance_entry_missing")
                 .add("at", static_cast<std::int64_t>(revision.value()));
+        const bool isLostByReturn = m_ownVersion->era() < revision.era();
         m_ownVersion.reset();
-        scheduleRegistration();
+        if (isLostByReturn)
+            scheduleRegistration();
+        else
+            registerSelf();
     }
-    if (m_loop.now() < m_keepUnlistedUntil)
-        keepUnlistedMembers(former);
     m_onMembers(m_members);
 }
 
--- a/lib/gateway/instance_directory.h
+++ b/lib/gateway/instance_directory.h
@@ -66,6 +66,8 @@
 
 private:
     void registerSelf();
+    /// Time over which the registrations of all instances are spread.
+    duration registrationTime() const;
     /// Registers again after a delay that keeps the writes of all instances below a rate.
     void scheduleRegistration();
     void keepUnlistedMembers(const member_map &former);
