End evacuations in time that were ended while the store was away

After the store's return from a copy, callers were refused for an evacuated data centre although the operator had ended the evacuation: the copy lacked it too, so that no removal was seen, and each instance kept it for 5 s after its own watch of evacuations had learned of the return, which was up to 2.6 s late.

Evacuations now stay for 0.6 of evacuation_within_ms, so that one that nobody writes again ends everywhere within that setting, and a watcher lists them as soon as it learns of the return by the servers.

--- a/lib/gateway/evacuation_view.cpp
+++ b/lib/gateway/evacuation_view.cpp
@@ -7,6 +7,15 @@
 
 namespace peridotwheel {
 
+namespace {
+
+/// Fraction of `applyWithin` for which evacuations stay in force after the store's return. The rest
+/// covers the time until the last instance learns of the return, so that one that nobody writes
+/// again ends everywhere within `applyWithin`.
+constexpr double keepFraction = 0.6;
+
+} // namespace
+
 evacuation_view::evacuation_view(event_loop &loop, platform_client &store, counter_set &counters,
                                  decision_log &log, const settings &s, evacuations_hook onChanged)
     : m_loop(loop)
@@ -28,6 +37,15 @@
         m_watch.start();
 }
 
+void evacuation_view::onStoreReturned(store_era era)
+{
+    const bool isBehind = m_list && era > m_list->revision.era() && era > m_requestedEra;
+    if (!isBehind || !m_watch.active())
+        return;
+    m_requestedEra = era;
+    m_watch.refresh();
+}
+
 void evacuation_view::onRead(const watch_result &read, bool isFullList)
 {
     if (m_list && read.next.era() < m_list->revision.era())
@@ -63,7 +81,7 @@
 void evacuation_view::keepEvacuationsInForce()
 {
     m_kept = m_inForce;
-    m_keepTimer = m_loop.schedule(m_applyWithin, [this] {
+    m_keepTimer = m_loop.schedule(scaled(m_applyWithin, keepFraction), [this] {
         m_kept.clear();
         publish("store", false);
     });
--- a/lib/gateway/evacuation_view.h
+++ b/lib/gateway/evacuation_view.h
@@ -18,8 +18,8 @@
 /// Read from the store by the instances that watch it, and taken over from their views by the
 /// others. A list that could not be read leaves the last one in force, so that an evacuation lasts
 /// through an outage of the store. After the store's return from an earlier copy, the evacuations
-/// in force stay beside those of the copy for as long as a change may take, in which operators
-/// write again what the copy lacks.
+/// in force stay for a while beside those of the copy, in which operators write again what the copy
+/// lacks.
 class evacuation_view
 {
 public:
@@ -44,6 +44,8 @@
 
     /// Starts or stops watching the store.
     void setWatching(bool watching);
+    /// Reads the store at once if this instance watches it and the list is from an earlier era.
+    void onStoreReturned(store_era era);
     /// Takes over the list of another instance if it is newer.
     void merge(const evacuation_list &other);
     /// Returns the list as read from the store; absent until one is known.
@@ -66,6 +68,8 @@
     std::set<data_centre_id> m_kept;
     timer m_keepTimer;
     std::set<data_centre_id> m_inForce;
+    /// Latest era whose list was requested because of the store's return.
+    store_era m_requestedEra;
     bool m_isStarted = false;
 };
 
--- a/lib/gateway/gateway_instance.cpp
+++ b/lib/gateway/gateway_instance.cpp
@@ -195,7 +195,8 @@
         return {};
     return {[this] { return m_evacuations->list(); },
             [this](const evacuation_list &list) { m_evacuations->merge(list); },
-            [this](bool watching) { m_evacuations->setWatching(watching); }};
+            [this](bool watching) { m_evacuations->setWatching(watching); },
+            [this](store_era era) { m_evacuations->onStoreReturned(era); }};
 }
 
 std::shared_ptr<client_memory> gateway_instance::impl::makeClientMemory()
--- a/lib/gateway/view_exchange.cpp
+++ b/lib/gateway/view_exchange.cpp
@@ -127,6 +127,8 @@
     m_directory.onStoreReturned(m_view.serversRevision().era());
     if (m_evacuations.setWatching)
         m_evacuations.setWatching(m_view.isWatching());
+    if (m_evacuations.onStoreReturned)
+        m_evacuations.onStoreReturned(m_view.serversRevision().era());
     // Without the store no entry can be removed, and an instance that is partitioned from the store
     // may be partitioned from the probed members as well.
     m_sweeper.setActive(m_hasMembers && m_view.isWatching() && !m_view.isStoreUnavailable());
--- a/lib/gateway/view_exchange.h
+++ b/lib/gateway/view_exchange.h
@@ -41,6 +41,8 @@
     std::function<void(const evacuation_list &)> merge;
     /// Called with whether this instance watches the store.
     std::function<void(bool watching)> setWatching;
+    /// Called with the era of the store to which the known servers belong.
+    std::function<void(store_era)> onStoreReturned;
 };
 
 struct view_exchange_options
--- a/unittests/gateway/exchange_fixture.h
+++ b/unittests/gateway/exchange_fixture.h
@@ -136,7 +136,8 @@
                                [this](const server_hints &h) { hints = h; }},
                   evacuation_hooks{[this] { return evacuations.list(); },
                                    [this](const evacuation_list &l) { evacuations.merge(l); },
-                                   [this](bool on) { evacuations.setWatching(on); }}))
+                                   [this](bool on) { evacuations.setWatching(on); },
+                                   [this](store_era era) { evacuations.onStoreReturned(era); }}))
     {
         network.peers[self.peers] = exchange.get();
     }
