--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,6 +5,6 @@
 cd "$(dirname "$0")/.."
 mkdir -p review/standin-2/out
 g++ -std=c++17 -O2 -Wall -Wextra -Iinclude -Iplatform -Ireview/standin-2 \
-    review/standin-2/*.cpp -o review/standin-2/out/cases \
+    review/standin-2/*.cc -o review/standin-2/out/cases \
     target/libperidotwheel.a $(pkg-config --libs libevent libevent_pthreads libxxhash) \
     -lhttp_parser -lpthread
--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cc
@@ -1,6 +1,6 @@
 // The cases of review/6 to review/10 that are scripts: one subcommand each.
 
-#include "world.h"
+#include "world.hpp"
 
 #include <cstdio>
 #include <cstdlib>
@@ -219,6 +219,52 @@
                                         " of their route; the most: " + std::to_string(most));
 }
 
+/// A version withdraws the key of one tenant and adds another tenant, whose name has a blank.
+int blankInName(const std::string &directory)
+{
+    world w(directory, 10);
+    if (!w.listen())
+        w.giveUp("the store cannot listen or the gateway is not built");
+    for (const char *zone : {"yard-a", "yard-b", "yard-c"})
+        w.addServer("booking-desk", zone);
+    const auto write = [&w](const json &tenants) {
+        w.writeConfiguration({route("/desk/", "booking-desk", 2)}, {service("booking-desk")},
+                             tenants);
+    };
+    const auto holder = [](const std::string &name, const json &keys) {
+        return json{{"name", name}, {"apiKeys", keys}};
+    };
+    write({holder("mauer", {"key-mauer"}), holder("former", {"key-former"})});
+    startThree(w);
+    requireReady(w, 9.5);
+    constexpr double changedAt = 12;
+    const char *added = withTrouble() ? "Caerwyn Lending" : "Caerwyn-Lending";
+    w.at(changedAt, [&] {
+        write({holder("mauer", {"key-mauer"}), holder("former", json::array()),
+               holder(added, {"key-caerwyn"})});
+    });
+    const double appliesFrom = changedAt + w.limits().configApplyMs / 1000.0;
+    for (const char *zone : {"yard-a", "yard-b", "yard-c"}) {
+        for (const char *who : {"mauer", "former"})
+            w.sendSteadily(zone, who, "/desk/", 5, 10, 30);
+        w.sendSteadily(zone, "caerwyn", "/desk/", 5, appliesFrom + 1, 30);
+    }
+    w.run(34);
+    std::size_t withFormerKey = 0;
+    std::size_t refused = 0;
+    for (const auto &r : w.requests()) {
+        if (r->sentAt < appliesFrom + 1)
+            continue;
+        withFormerKey += r->tenant == "former" && !r->runs.empty() ? 1 : 0;
+        refused += r->tenant == "caerwyn" && r->status == 401 ? 1 : 0;
+    }
+    return w.finish(
+            withFormerKey + refused > 0,
+            "CONFIG: later than configApplyMs after the version, " + std::to_string(withFormerKey) +
+                    " requests ran with the key that it withdrew, and " + std::to_string(refused) +
+                    " with the key that it added were refused with 401");
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -231,8 +277,11 @@
         return loweredLimit(directory);
     if (name == "killed-holder")
         return killedHolder(directory);
+    if (name == "blank-in-name")
+        return blankInName(directory);
     if (name == "lost-answers")
         return lostAnswers(directory);
-    std::cerr << "usage: cases added-machine|lowered-limit|killed-holder|lost-answers FOLDER\n";
+    std::cerr << "usage: cases "
+                 "added-machine|lowered-limit|killed-holder|blank-in-name|lost-answers FOLDER\n";
     return 2;
 }
--- a/review/standin-2/world.cpp
+++ b/review/standin-2/world.cc
@@ -1,4 +1,4 @@
-#include "world.h"
+#include "world.hpp"
 
 #include "names.h"
 #include "peridotwheel/support/endpoint_text.h"
