--- a/review/standin-2/cases.cc
+++ b/review/standin-2/cases.cc
@@ -181,7 +181,7 @@
                          json::array());
     startThree(w);
     requireReady(w, 9.5);
-    constexpr int bursts = 11;
+    constexpr int bursts = 22;
     constexpr int inBurst = 60;
     for (int burst = 0; burst < bursts; ++burst) {
         w.at(12.5 + 4 * burst, [&w] {
@@ -202,7 +202,7 @@
             w.note("half of the servers lose 0.4 of their answers for 4 s");
         });
     }
-    w.run(60);
+    w.run(104);
     std::size_t beyond = 0;
     std::size_t most = 0;
     for (const auto &r : w.requests()) {
