Let an unusable entry of a configuration affect only itself

Cause: the reader accepted or refused a document as a whole, and took names of printable characters without blanks only.

Change: readConfiguration reads entry by entry and lists what it cannot use as defects. Names and keys need only be values of a header; numbers beyond our own bounds are accepted; an incomplete route or tenant stays known and its requests get 503, which promises that they have not run. Routes or services without a readable list stay as they are in force while the rest of the version applies. Keys are no longer limited to 256 bytes and may contain commas and blanks.

--- a/include/peridotwheel/gateway/cluster_view.h
+++ b/include/peridotwheel/gateway/cluster_view.h
@@ -17,6 +17,8 @@
 
 namespace peridotwheel {
 
+class counter;
+class counter_set;
 class decision_log;
 
 /// Kinds and names of the store objects that make up the view, and the functions that parse them.
@@ -137,6 +139,10 @@
     bool isStoreUnavailable() const;
 
 private:
+    void logDefects(const route_configuration &configuration);
+    /// Keeps the routes or services in force if \p configuration has no readable list of them, so
+    /// that its other parts can be put into force.
+    void completeFromPresent(route_configuration &configuration) const;
     void onServersRead(const watch_result &read, bool isFullList);
     void store(const platform_object &object);
     void onStoreReturned(object_version position);
@@ -161,6 +167,7 @@
     event_loop &m_loop;
     decision_log &m_log;
     duration m_outageAge;
+    counter &m_defects;
     cluster_documents m_documents;
     cluster_view_hooks m_hooks;
     object_watcher m_configurationWatch;
--- a/include/peridotwheel/gateway/route.h
+++ b/include/peridotwheel/gateway/route.h
@@ -68,6 +68,8 @@
     /// Whether requests need no key of a team.
     bool isPublic = false;
     home_regions homes;
+    /// Why its requests cannot be served; empty if they can.
+    std::string unusableReason;
 };
 
 using route_ptr = std::shared_ptr<const route>;
@@ -102,6 +104,8 @@
     /// A burst without a rate has no effect; kept for the check of a configuration.
     bool hasBurstWithoutRate = false;
     home_regions homes;
+    /// Why its requests cannot be served; empty if they can.
+    std::string unusableReason;
 };
 
 using team_ptr = std::shared_ptr<const team_spec>;
@@ -126,6 +130,11 @@
     stream_limits limits;
     /// Present if callers authenticate, which requests on public routes need not do.
     std::optional<std::vector<team_ptr>> teams;
+    /// Whether there is a readable list of routes, and one of services.
+    bool hasRoutes = true;
+    bool hasServices = true;
+    /// What could not be read, one text for each value. Contains no keys.
+    std::vector<std::string> defects;
 };
 
 /// Finds the route of a request by the longest matching prefix among the routes of its host.
--- a/include/peridotwheel/support/json_text.h
+++ b/include/peridotwheel/support/json_text.h
@@ -2,6 +2,7 @@
 #define PERIDOTWHEEL_SUPPORT_JSON_TEXT_H
 
 #include <map>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -19,6 +20,10 @@
 /// Returns the texts of the elements of a JSON array; nothing if \p text is no array.
 std::optional<std::vector<std::string_view>> jsonElements(std::string_view text);
 
+/// Parses JSON text; each member or element that cannot be parsed becomes a discarded value, as
+/// does the whole if nothing of it can be.
+nlohmann::json parseReadableJson(std::string_view text);
+
 } // namespace peridotwheel
 
 #endif
--- a/lib/gateway/cluster_view.cpp
+++ b/lib/gateway/cluster_view.cpp
@@ -1,5 +1,6 @@
 #include "peridotwheel/gateway/cluster_view.h"
 
+#include "peridotwheel/counters/counter_set.h"
 #include "peridotwheel/gateway/decision_log.h"
 #include "view_watch_options.h"
 
@@ -25,6 +26,8 @@
 constexpr std::size_t maxRememberedRemovals = 4096;
 /// Source logged for a configuration that this instance read from the store itself.
 constexpr std::string_view storeSource = "store";
+/// Defects of one version that are logged in full.
+constexpr std::size_t maxLoggedDefects = 20;
 
 } // namespace
 
@@ -50,6 +53,7 @@
     : m_loop(loop)
     , m_log(log)
     , m_outageAge(scaled(applyWithin, outageAgeFraction))
+    , m_defects(counters.at("configuration.defects"))
     , m_documents(std::move(documents))
     , m_hooks(std::move(hooks))
     , m_configurationWatch(loop, store, counters, m_documents.configurationKind, seed,
@@ -165,12 +169,19 @@
         m_log.state("configuration_refused").add("reason", read.error().message);
         return;
     }
+    const bool hasNothingToServe = !read.value().hasRoutes || !read.value().hasServices;
+    if (!m_routes && hasNothingToServe) {
+        m_log.state("configuration_refused").add("reason", read.value().defects.back());
+        return;
+    }
     if (m_routes && read.value().version <= m_routes->version())
         return;
     m_log.state("configuration_received")
             .add("version", static_cast<std::int64_t>(read.value().version.value()))
             .add("source", source)
             .add("bytes", static_cast<std::int64_t>(object.value.size()));
+    logDefects(read.value());
+    completeFromPresent(read.value());
     m_configuration = object;
     m_routes = std::make_shared<route_table>(std::move(read).value());
     m_hooks.onRoutes(m_routes);
@@ -185,6 +196,28 @@
     }
 }
 
+void cluster_view::logDefects(const route_configuration &configuration)
+{
+    const auto &defects = configuration.defects;
+    m_defects.set(defects.size());
+    for (std::size_t i = 0; i < std::min(defects.size(), maxLoggedDefects); ++i)
+        m_log.decision("configuration_entry_defective")
+                .add("version", static_cast<std::int64_t>(configuration.version.value()))
+                .add("reason", defects[i]);
+    if (!defects.empty())
+        m_log.state("configuration_defective")
+                .add("version", static_cast<std::int64_t>(configuration.version.value()))
+                .add("defects", static_cast<std::int64_t>(defects.size()));
+}
+
+void cluster_view::completeFromPresent(route_configuration &configuration) const
+{
+    if (!configuration.hasRoutes)
+        configuration.routes = m_routes->routes();
+    if (!configuration.hasServices)
+        configuration.services = m_routes->services();
+}
+
 bool cluster_view::isOutdated(const platform_object &object, const platform_object &known) const
 {
     if (object.version.era() == known.version.era())
--- a/lib/gateway/configuration_check.cpp
+++ b/lib/gateway/configuration_check.cpp
@@ -271,6 +271,7 @@
 configuration_check::report configuration_check::check(const route_configuration &next) const
 {
     report out;
+    out.errors = next.defects;
     checkHidden(next, out);
     checkServices(next, out);
     checkLimits(next, out);
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -15,6 +15,9 @@
 /// Retry delay advised while the instance serves as many requests as it has memory for: those end
 /// within their time limits, which are seconds.
 constexpr duration instanceFullRetryAfter = seconds(1);
+/// Retry delay advised while a route or a team cannot be served as the configuration has it, which
+/// only the operators can correct.
+constexpr duration unusableEntryRetryAfter = seconds(5);
 
 /// At most this fraction (1 / `allotmentWaitDivisor`) of the time budget is spent on the wait for a
 /// token.
@@ -185,6 +188,13 @@
         return refuse(authenticationFailure(key.presence), "no_valid_key");
     }
     s.teamCounts.addOffered(identity.team);
+    if (!r->unusableReason.empty() || (identity.team && !identity.team->unusableReason.empty())) {
+        s.teamCounts.addRefused(identity.team);
+        return refuse({refusal_kind::NotRun, unusableEntryRetryAfter,
+                       "the configuration of this route or team is incomplete; not run, ask its "
+                       "operators\n"},
+                      "unusable_configuration");
+    }
     if (!terms) {
         refuse({refusal_kind::BadRequest, std::nullopt, terms.error().message + "\n"},
                "bad_request");
--- a/lib/gateway/team_directory.cpp
+++ b/lib/gateway/team_directory.cpp
@@ -26,7 +26,7 @@
 {
     for (const auto &team : teams) {
         for (const auto &key : team->keys) {
-            if (key.size() <= maxKeyBytes && !find(key))
+            if (!find(key))
                 m_byDigest.emplace(digest(key), entry{key, team});
         }
     }
@@ -40,8 +40,6 @@
 
 team_ptr team_directory::find(std::string_view key) const
 {
-    if (key.size() > maxKeyBytes)
-        return nullptr;
     const auto [first, last] = m_byDigest.equal_range(digest(key));
     for (auto it = first; it != last; ++it) {
         if (isEqualInConstantTime(it->second.key, key))
--- a/lib/gateway/team_directory.h
+++ b/lib/gateway/team_directory.h
@@ -3,7 +3,6 @@
 
 #include "peridotwheel/gateway/route.h"
 
-#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -16,9 +15,6 @@
 /// Secret of a process from which the digests of keys are computed.
 using digest_seed = strong_id<struct digest_seed_tag, std::uint64_t>;
 
-/// Longest key of a team, in bytes.
-constexpr std::size_t maxKeyBytes = 256;
-
 /// Finds the team that holds a key.
 ///
 /// The duration of a lookup does not show how much of a key matches: the entry is found by a digest
--- a/lib/support/json_text.cpp
+++ b/lib/support/json_text.cpp
@@ -99,6 +99,33 @@
     bool m_isValid = true;
 };
 
+bool isQuoted(std::string_view text)
+{
+    return text.size() >= 2 && text.front() == '"' && text.back() == '"';
+}
+
+nlohmann::json parseReadableJson(std::string_view text, int depth)
+{
+    using nlohmann::json;
+    if (auto whole = parseBoundedJson(std::string(text)))
+        return std::move(whole).value();
+    if (depth < maxJsonDepth) {
+        if (const auto members = jsonMembers(text)) {
+            json out = json::object();
+            for (const auto &[name, value] : *members)
+                out[name] = parseReadableJson(value, depth + 1);
+            return out;
+        }
+        if (const auto elements = jsonElements(text)) {
+            json out = json::array();
+            for (const std::string_view element : *elements)
+                out.push_back(parseReadableJson(element, depth + 1));
+            return out;
+        }
+    }
+    return json(json::value_t::discarded);
+}
+
 } // namespace
 
 std::optional<std::map<std::string, std::string_view>> jsonMembers(std::string_view text)
@@ -108,12 +135,15 @@
     in.require('{');
     if (in.isValid() && !in.take('}')) {
         do {
-            const auto name = parseBoundedJson(std::string(in.value()));
+            const std::string_view nameText = in.value();
+            const auto name = parseBoundedJson(std::string(nameText));
             in.require(':');
             const std::string_view value = in.value();
-            if (!in.isValid() || !name || !name.value().is_string())
+            if (!in.isValid() || !isQuoted(nameText))
                 return std::nullopt;
-            out[name.value().get<std::string>()] = value;
+            // A name that is no text cannot be asked for.
+            if (name)
+                out[name.value().get<std::string>()] = value;
         } while (in.take(','));
         in.require('}');
     }
@@ -136,4 +166,9 @@
     return in.isValid() ? std::optional(std::move(out)) : std::nullopt;
 }
 
+nlohmann::json parseReadableJson(std::string_view text)
+{
+    return parseReadableJson(text, 0);
+}
+
 } // namespace peridotwheel
--- a/unittests/gateway/cluster_view_test.cpp
+++ b/unittests/gateway/cluster_view_test.cpp
@@ -13,8 +13,9 @@
 
 namespace {
 
-/// A view whose configurations are version numbers and whose servers are "SERVICE" or "leaving",
-/// with the number of the report and the start of the server if they matter.
+/// A view whose configurations are version numbers, followed by "without lists" if they have no
+/// readable routes and services, and whose servers are "SERVICE" or "leaving", with the number of
+/// the report and the start of the server if they matter.
 class cluster_view_test : public testing::Test
 {
 protected:
@@ -24,6 +25,7 @@
                {"config", "main", "servers", "evacuations", &readNumber, &readName},
                {[this](const route_table_ptr &routes) {
                     versions.push_back(routes->version().value());
+                    inForce = routes;
                 },
                 [this](const backend_map &servers) { present = servers; }})
     {
@@ -35,6 +37,15 @@
             return failure(error_kind::InvalidArgument, "not a number");
         route_configuration c;
         c.version = configuration_version(std::stoul(object.value));
+        c.hasRoutes = object.value.find("without lists") == std::string::npos;
+        c.hasServices = c.hasRoutes;
+        if (c.hasRoutes) {
+            c.routes = {std::make_shared<route>()};
+            c.services = {{service_name("s0"), {}}};
+        } else {
+            c.teams.emplace();
+            c.defects = {"no routes", "no services"};
+        }
         return c;
     }
 
@@ -70,6 +81,7 @@
     decision_log log;
     scripted_store store{loop};
     std::vector<std::uint64_t> versions;
+    route_table_ptr inForce;
     backend_map present;
     cluster_view view;
 };
@@ -107,6 +119,25 @@
     EXPECT_EQ(versions, std::vector<std::uint64_t>{9});
 }
 
+// Guards against keys that stay valid because the version that withdraws them has no readable list
+// of routes, and against routes that are lost with that list.
+TEST_F(cluster_view_test, keepsTheRoutesOfAVersionWithoutAList)
+{
+    view.setWatching(true);
+    store.write("config", "main", "6 without lists");
+    loop.advance(seconds(1));
+    EXPECT_TRUE(versions.empty()) << "there is nothing to serve";
+    store.write("config", "main", "7");
+    loop.advance(seconds(1));
+    store.write("config", "main", "8 without lists");
+    loop.advance(seconds(1));
+    EXPECT_EQ(versions, (std::vector<std::uint64_t>{7, 8}));
+    EXPECT_TRUE(inForce->teams().has_value());
+    EXPECT_EQ(inForce->routes().size(), 1U);
+    EXPECT_NE(inForce->service(service_name("s0")), nullptr);
+    EXPECT_EQ(counters.at("configuration.defects").value(), 2U);
+}
+
 // A malformed entry is skipped; it must not affect the valid ones.
 TEST_F(cluster_view_test, leavesOutMalformedEntries)
 {
