--- a/include/peridotwheel/gateway/allotment_hooks.h
+++ b/include/peridotwheel/gateway/allotment_hooks.h
@@ -26,9 +26,9 @@
 
     team_name team;
     source from = source::Owner;
-    /// Number of owners that the team had, as this instance saw it. Tokens of earlier ones are
+    /// Number of buckets that the team had, as this instance saw it. Tokens of earlier ones are
     /// void.
-    std::uint64_t ownerGeneration = 0;
+    std::uint64_t bucketGeneration = 0;
 };
 
 struct allotment_decision
--- a/include/peridotwheel/http/http_connection.h
+++ b/include/peridotwheel/http/http_connection.h
@@ -20,7 +20,11 @@
 struct http_outcome
 {
     transport_failure failure = transport_failure::None;
-    http_reply reply; ///< Valid if `failure` is `None`.
+    /// Valid if `failure` is `None`.
+    http_reply reply;
+    /// Whether nothing listened at the address, so that the process that did has ended. Implies
+    /// `NotSent`.
+    bool isRefused = false;
 
     bool ok() const { return failure == transport_failure::None; }
 };
--- a/include/peridotwheel/http/socket_stream.h
+++ b/include/peridotwheel/http/socket_stream.h
@@ -14,8 +14,9 @@
 class libevent_loop;
 
 enum class stream_end {
-    Closed, ///< The peer closed the connection in an orderly way.
-    Broken, ///< The connection was reset, timed out, or could not be opened.
+    Closed,  ///< The peer closed the connection in an orderly way.
+    Broken,  ///< The connection was reset, timed out, or could not be opened.
+    Refused, ///< Nothing listens at the address.
 };
 
 /// Whether TCP keepalive probes are sent on an idle connection, so that an unreachable peer is
--- a/lib/gateway/allotment_bucket.cpp
+++ b/lib/gateway/allotment_bucket.cpp
@@ -50,13 +50,46 @@
     reserve = reserveShare * left;
 }
 
-allotment_bucket::allotment_bucket(const allotment_bounds &bounds, time_point now)
+allotment_bucket::allotment_bucket(const allotment_bounds &bounds, bucket_id id, time_point now)
     : m_bounds(bounds)
+    , m_id(id)
     , m_level(bounds.atStart - bounds.lendable)
     , m_settledAt(now)
 {
 }
 
+allotment_bucket::allotment_bucket(const allotment_bounds &bounds,
+                                   const allotment_bucket_state &state, time_point now)
+    : m_bounds(bounds)
+    , m_id(state.id)
+    , m_level(std::min(state.level, bounds.capacity))
+    , m_settledAt(now)
+{
+    for (const auto &from : state.holders) {
+        holder &h = m_holders[from.instance];
+        h.process = from.process;
+        h.sequence = from.sequence;
+        h.used = from.used;
+        h.out = from.out;
+        h.presumedUsed = from.presumedUsed;
+        h.expiry = now + from.expiryIn;
+        m_out += h.out;
+    }
+}
+
+allotment_bucket_state allotment_bucket::state(const team_name &team, time_point now)
+{
+    settle(now);
+    allotment_bucket_state out;
+    out.team = team;
+    out.id = m_id;
+    out.level = m_level;
+    for (const auto &[instance, h] : m_holders)
+        out.holders.push_back({instance, h.process, h.sequence, h.used, h.out, h.presumedUsed,
+                               std::max(h.expiry - now, duration::zero())});
+    return out;
+}
+
 void allotment_bucket::setBounds(const allotment_bounds &bounds, time_point now)
 {
     settle(now);
@@ -97,6 +130,7 @@
     settle(now);
     allotment_grant grant;
     grant.team = report.team;
+    grant.bucket = m_id;
     const auto [it, isNew] = m_holders.try_emplace(sender.instance);
     holder &h = it->second;
     if (isNew || h.process != sender.process) {
--- a/lib/gateway/allotment_bucket.h
+++ b/lib/gateway/allotment_bucket.h
@@ -3,11 +3,13 @@
 
 #include "peridotwheel/gateway/gateway_settings.h"
 #include "peridotwheel/gateway/route.h"
+#include "peridotwheel/http/http_message.h"
 #include "peridotwheel/support/ids.h"
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace peridotwheel {
 
@@ -46,6 +48,22 @@
     }
 };
 
+/// Distinguishes the buckets that a team had one after the other. Tokens of another bucket than the
+/// present one are void.
+using bucket_id = strong_id<struct bucket_tag, std::uint64_t>;
+
+/// An instance and the address at which it answers messages of other instances.
+struct allotment_peer
+{
+    instance_id id;
+    endpoint address;
+
+    friend bool operator==(const allotment_peer &a, const allotment_peer &b)
+    {
+        return a.id == b.id && a.address == b.address;
+    }
+};
+
 /// What an instance reports to the owner about the tokens of one team.
 struct allotment_report
 {
@@ -74,7 +92,32 @@
     std::int32_t tokens = 0;
     /// Present if the allotment is used up.
     std::optional<duration> capacityIn;
+    /// Whether the replying instance keeps the bucket.
     bool isOwner = true;
+    bucket_id bucket;
+    /// Present if another instance is known to keep the bucket, or to be about to.
+    std::optional<allotment_peer> owner;
+};
+
+/// The state of a bucket in the form in which it is handed over to another instance.
+struct allotment_bucket_state
+{
+    /// The tokens of one instance.
+    struct holder
+    {
+        instance_id instance;
+        start_id process;
+        std::uint64_t sequence = 0;
+        std::int64_t used = 0;
+        std::int32_t out = 0;
+        std::int32_t presumedUsed = 0;
+        duration expiryIn{};
+    };
+
+    team_name team;
+    bucket_id id;
+    double level = 0;
+    std::vector<holder> holders;
 };
 
 /// The token bucket of one team at its owner.
@@ -87,8 +130,15 @@
 class allotment_bucket
 {
 public:
-    allotment_bucket(const allotment_bounds &bounds, time_point now);
-
+    /// A new bucket. It starts without tokens for a burst, since an earlier one may have granted
+    /// some just before.
+    allotment_bucket(const allotment_bounds &bounds, bucket_id id, time_point now);
+    /// Continues the bucket of another instance. What it would have gained meanwhile is lost.
+    allotment_bucket(const allotment_bounds &bounds, const allotment_bucket_state &state,
+                     time_point now);
+
+    bucket_id id() const { return m_id; }
+    allotment_bucket_state state(const team_name &team, time_point now);
     void setBounds(const allotment_bounds &bounds, time_point now);
     /// Accounts for \p report and grants tokens.
     allotment_grant handle(const allotment_sender &sender, const allotment_report &report,
@@ -119,6 +169,7 @@
     duration timeUntilCapacity() const;
 
     allotment_bounds m_bounds;
+    bucket_id m_id;
     double m_level;
     double m_out = 0;
     time_point m_settledAt;
--- a/lib/gateway/allotment_client.cpp
+++ b/lib/gateway/allotment_client.cpp
@@ -28,10 +28,14 @@
 constexpr double frequentPerSecond = 2;
 /// An owner that does not answer in time is asked again after this time.
 constexpr duration absentTime = seconds(1);
-/// Directories of two instances differ for about as long as a list of instances travels.
+/// A claim for a bucket takes about this long.
 constexpr duration disownedTime = milliseconds(300);
-/// An owner that hears of no other instance for this long may have been replaced.
+/// Instances that name each other as the owner are not asked any more for `disownedTime`.
+constexpr unsigned maxRedirections = 3;
+/// An instance that hears of no other one for this long may have been replaced as the owner.
 constexpr duration isolationTime = seconds(2);
+/// A claimant that was not answered sends its claim again within this time.
+constexpr duration rejoinTime = seconds(1);
 /// Least and longest retry delay while there is no owner.
 constexpr duration minUnavailable = milliseconds(100);
 constexpr duration maxUnavailable = seconds(1);
@@ -43,7 +47,7 @@
     : m_self(std::move(self))
     , m_process(process)
     , m_owner(owner)
-    , m_startedAt(now)
+    , m_reserveFrom(now)
     , m_peerHeardAt(now)
 {
 }
@@ -67,25 +71,71 @@
             it = m_teams.erase(it);
             continue;
         }
-        if (old == before.end() || old->second.owner != terms->second.owner) {
-            ++s.ownerGeneration;
-            s.tokens = 0;
+        if (old == before.end() || old->second.owner != terms->second.owner)
+            onOwnerChanged(team, s, now, decided);
+        else if (old->second.bounds != terms->second.bounds)
             s.blockedUntil = time_point();
-            s.disownedUntil = time_point();
-            endWaits(team, s, now, decided);
-        } else if (old->second.bounds != terms->second.bounds) {
-            s.blockedUntil = time_point();
-        }
         ++it;
     }
     const std::vector<instance_id> &known = m_instances;
     for (auto it = m_links.begin(); it != m_links.end();) {
-        const bool isKnown = std::find(known.begin(), known.end(), it->first) != known.end();
+        const auto isOwner = [&it](const auto &each) { return each.second.owner == it->first; };
+        const bool isKnown = std::find(known.begin(), known.end(), it->first) != known.end() ||
+                             std::any_of(m_terms.begin(), m_terms.end(), isOwner);
         it = isKnown || it->second.isInFlight ? std::next(it) : m_links.erase(it);
     }
     callBack(decided);
 }
 
+void allotment_client::setOwner(const team_name &team, const std::optional<instance_id> &owner,
+                                time_point now)
+{
+    const auto terms = m_terms.find(team);
+    if (terms == m_terms.end() || terms->second.owner == owner)
+        return;
+    terms->second.owner = owner;
+    decided_requests decided;
+    const auto found = m_teams.find(team);
+    if (found != m_teams.end())
+        onOwnerChanged(team, found->second, now, decided);
+    callBack(decided);
+}
+
+void allotment_client::onOwnerChanged(const team_name &team, team_state &s, time_point now,
+                                      decided_requests &decided)
+{
+    // A bucket that was handed over keeps its tokens, and its new owner tells if it is used up.
+    s.blockedUntil = time_point();
+    s.disownedUntil = time_point();
+    const auto &owner = m_terms.at(team).owner;
+    if (s.waiting.empty())
+        return;
+    if (!owner)
+        return endWaits(team, s, now, decided);
+    if (*owner != m_self)
+        return sendBy(*owner, now);
+    for (auto &w : s.waiting)
+        decided.push_back({std::move(w.done), takeHere(team, now)});
+    s.waiting.clear();
+}
+
+void allotment_client::dropTokens(const team_name &team, time_point now)
+{
+    const auto found = m_teams.find(team);
+    if (found == m_teams.end())
+        return;
+    found->second.tokens = 0;
+    found->second.tokensDroppedAt = now;
+    ++found->second.bucketGeneration;
+}
+
+void allotment_client::onPeerHeard(time_point now)
+{
+    if (silence(now) >= isolationTime)
+        m_rejoinedAt = now;
+    m_peerHeardAt = now;
+}
+
 bool allotment_client::isActive(const team_state &s, time_point now)
 {
     return s.recentRequests > 0 && now < s.lastRequest + activeTime;
@@ -106,13 +156,14 @@
 
 bool allotment_client::isIsolated(time_point now) const
 {
-    return m_instances.size() > 1 && silence(now) >= isolationTime;
+    const bool hasJustRejoined = m_rejoinedAt != time_point() && now < m_rejoinedAt + rejoinTime;
+    return m_instances.size() > 1 && (silence(now) >= isolationTime || hasJustRejoined);
 }
 
 bool allotment_client::isOwnerUsable(const team_state &s, const team_terms &terms,
                                      time_point now) const
 {
-    if (!terms.owner || now < s.disownedUntil)
+    if (now < s.disownedUntil)
         return false;
     const auto link = m_links.find(*terms.owner);
     return link == m_links.end() || now >= link->second.absentUntil;
@@ -128,8 +179,10 @@
     s.recentRequests = 1 + requestsPerSecond(s, now) * toMilliseconds(demandTime) / 1000;
     s.lastRequest = now;
     const auto &owner = terms->second.owner;
+    if (isIsolated(now))
+        return done(takeFromReserve(team, s, now));
     if (owner == m_self)
-        return done(isIsolated(now) ? takeFromReserve(team, s, now) : takeHere(team, now));
+        return done(takeHere(team, now));
     if (!m_sweepAt)
         m_sweepAt = now + sweepInterval;
     if (s.tokens > 0 && now < s.tokenExpiry) {
@@ -140,6 +193,11 @@
     }
     if (now < s.blockedUntil)
         return done({allotment_verdict::OverLimit, {}, s.blockedUntil - now});
+    if (!owner) {
+        // A process that has just started reads the list of instances within the wait.
+        s.waiting.push_back({deadline, std::move(done)});
+        return;
+    }
     if (!isOwnerUsable(s, terms->second, now))
         return done(takeFromReserve(team, s, now));
     s.waiting.push_back({deadline, std::move(done)});
@@ -161,7 +219,7 @@
     --s.tokens;
     ++s.used;
     return {allotment_verdict::Granted,
-            {team, allotment_token::source::Owner, s.ownerGeneration},
+            {team, allotment_token::source::Owner, s.bucketGeneration},
             {}};
 }
 
@@ -171,7 +229,8 @@
         return *s.reserveShare;
     const auto whole = static_cast<std::size_t>(m_terms.at(team).bounds.reserve);
     std::size_t share = 0;
-    if (!m_instances.empty()) {
+    // The others do not count an instance that is not in the list.
+    if (std::find(m_instances.begin(), m_instances.end(), m_self) != m_instances.end()) {
         // Requests cannot be divided, so the instances with the highest weights get one more.
         share = whole / m_instances.size();
         const auto key = stableHash(team.value());
@@ -194,12 +253,12 @@
     while (!uses.empty() && uses.front() + window <= now)
         uses.pop_front();
     // A process that ran here before may have used the reserve just before it ended.
-    const time_point usableFrom = m_startedAt + window;
+    const time_point usableFrom = m_reserveFrom + window;
     const std::size_t share = reserveShareOf(team, s);
     if (now >= usableFrom && uses.size() < share) {
         uses.push_back(now);
         return {allotment_verdict::Granted,
-                {team, allotment_token::source::Reserve, s.ownerGeneration},
+                {team, allotment_token::source::Reserve, s.bucketGeneration},
                 {}};
     }
     duration wait = maxUnavailable;
@@ -237,7 +296,7 @@
             s.reserveUses.pop_back();
         return;
     }
-    if (token.ownerGeneration != s.ownerGeneration)
+    if (token.bucketGeneration != s.bucketGeneration)
         return;
     --s.used;
     if (now < s.tokenExpiry)
@@ -311,15 +370,31 @@
 {
     const auto found = m_teams.find(grant.team);
     const auto terms = m_terms.find(grant.team);
-    if (found == m_teams.end() || terms == m_terms.end() || terms->second.owner != owner)
+    if (found == m_teams.end() || terms == m_terms.end())
         return;
     team_state &s = found->second;
     if (!grant.isOwner) {
+        const auto &next = terms->second.owner;
+        if (next && *next != owner && ++s.redirections <= maxRedirections) {
+            if (!s.waiting.empty() || s.used != s.reportedUsed)
+                sendBy(*next, now);
+            return;
+        }
+        s.redirections = 0;
         s.disownedUntil = now + disownedTime;
         return endWaits(grant.team, s, now, decided);
     }
-    s.tokens += grant.tokens;
-    s.tokenExpiry = sentAt + tokenValidity;
+    s.redirections = 0;
+    if (s.bucket != grant.bucket) {
+        s.bucket = grant.bucket;
+        s.tokens = 0;
+        ++s.bucketGeneration;
+    }
+    // A reply that was under way when the tokens were dropped may be from an earlier bucket.
+    if (!s.tokensDroppedAt || sentAt > *s.tokensDroppedAt) {
+        s.tokens += grant.tokens;
+        s.tokenExpiry = sentAt + tokenValidity;
+    }
     if (grant.capacityIn) {
         s.blockedUntil = now + *grant.capacityIn;
         // Asked before the next request comes, the owner's tokens cost no wait.
--- a/lib/gateway/allotment_client.h
+++ b/lib/gateway/allotment_client.h
@@ -32,7 +32,8 @@
     struct team_terms
     {
         allotment_bounds bounds;
-        /// Absent while no instances are known.
+        /// The instance to ask for tokens; this one if it keeps the bucket, and absent while no
+        /// instances are known.
         std::optional<instance_id> owner;
     };
 
@@ -42,6 +43,10 @@
     /// Replaces the teams that have an allotment, and the instances that share the reserves.
     void setTeams(const std::map<team_name, team_terms> &teams, std::vector<instance_id> instances,
                   time_point now);
+    /// Replaces the instance to ask for tokens of a team.
+    void setOwner(const team_name &team, const std::optional<instance_id> &owner, time_point now);
+    /// Drops the tokens of a team, because a new bucket of it will be begun.
+    void dropTokens(const team_name &team, time_point now);
     /// Calls \p done exactly once: at once, or when the owner replies, or at \p deadline.
     void take(const team_name &team, time_point deadline, time_point now, allotment_callback done);
     /// Returns a token that was not used.
@@ -56,8 +61,13 @@
     std::optional<time_point> nextDue() const;
 
     /// Must be called when another instance was heard of, by any message.
-    void onPeerHeard(time_point now) { m_peerHeardAt = now; }
+    void onPeerHeard(time_point now);
     duration silence(time_point now) const { return now - m_peerHeardAt; }
+    /// Whether this instance has heard of no other one, so that new buckets may have been begun
+    /// without it. It then uses its reserve only.
+    bool isIsolated(time_point now) const;
+    /// Sets the time from which the reserve may be used.
+    void setReserveFrom(time_point from) { m_reserveFrom = from; }
 
 private:
     struct waiting_request
@@ -69,15 +79,22 @@
     /// State of a team that has been seen here.
     struct team_state
     {
-        std::uint64_t ownerGeneration = 1;
+        /// Rises with each change of the bucket.
+        std::uint64_t bucketGeneration = 1;
+        /// The bucket that the tokens are from.
+        bucket_id bucket;
         std::int32_t tokens = 0;
         time_point tokenExpiry;
         std::int64_t used = 0;
         std::int64_t reportedUsed = 0;
         /// Until then the owner has no capacity.
         time_point blockedUntil;
-        /// Until then the owner does not consider itself the owner.
+        /// Until then no instance is known that keeps the bucket.
         time_point disownedUntil;
+        /// Number of instances in a row that named another one as the owner.
+        unsigned redirections = 0;
+        /// Tokens that were requested until then are void.
+        std::optional<time_point> tokensDroppedAt;
         /// Requests, decayed over time, and when this was last updated.
         double recentRequests = 0;
         time_point lastRequest;
@@ -113,7 +130,6 @@
     static double requestsPerSecond(const team_state &s, time_point now);
     /// Returns the number of tokens to have at hand.
     static std::int32_t targetOf(const team_state &s, time_point now);
-    bool isIsolated(time_point now) const;
     bool isOwnerUsable(const team_state &s, const team_terms &terms, time_point now) const;
     allotment_decision takeHere(const team_name &team, time_point now);
     allotment_decision takeFromReserve(const team_name &team, team_state &s, time_point now);
@@ -124,6 +140,8 @@
     std::optional<allotment_report> reportOf(const team_name &team, team_state &s, time_point now);
     void applyGrant(const allotment_grant &grant, const instance_id &owner, time_point sentAt,
                     time_point now, decided_requests &decided);
+    void onOwnerChanged(const team_name &team, team_state &s, time_point now,
+                        decided_requests &decided);
     void endWaits(const team_name &team, team_state &s, time_point now, decided_requests &decided);
     /// Renews and returns tokens of teams with few requests.
     void sweep(time_point now);
@@ -132,8 +150,10 @@
     instance_id m_self;
     start_id m_process;
     allotment_owner &m_owner;
-    time_point m_startedAt;
+    time_point m_reserveFrom;
     time_point m_peerHeardAt;
+    /// Until then this instance has just heard of others again, and may not know of new buckets.
+    time_point m_rejoinedAt{};
     std::uint64_t m_sequence = 0;
     std::map<team_name, team_terms> m_terms;
     std::vector<instance_id> m_instances;
--- a/lib/gateway/allotment_exchange.cpp
+++ b/lib/gateway/allotment_exchange.cpp
@@ -3,11 +3,11 @@
 #include "allotment_codec.h"
 #include "peridotwheel/counters/counter_set.h"
 #include "peridotwheel/gateway/decision_log.h"
-#include "peridotwheel/support/hash.h"
 
 #include <algorithm>
 #include <iterator>
 #include <set>
+#include <string_view>
 
 namespace peridotwheel {
 
@@ -23,22 +23,15 @@
 /// Interval of the first round of empty messages, which opens the connections to all owners.
 constexpr duration firstRoundInterval = milliseconds(50);
 constexpr int ok = 200;
-
-/// Returns the instance with the highest rendezvous weight for \p team.
-std::optional<instance_id> ownerOf(const team_name &team, const std::vector<instance_id> &instances)
-{
-    const auto key = stableHash(team.value());
-    std::optional<instance_id> best;
-    std::uint64_t bestWeight = 0;
-    for (const auto &id : instances) {
-        const auto weight = rendezvousWeight(key, id.value());
-        if (best && weight <= bestWeight)
-            continue;
-        best = id;
-        bestWeight = weight;
-    }
-    return best;
-}
+/// An instance that goes before this one for a team is checked at most once in this time.
+constexpr duration checkInterval = milliseconds(500);
+/// Instances that are checked when this one is asked for a team whose bucket it does not keep.
+constexpr std::size_t maxChecked = 3;
+/// Buckets are offered to this many instances at the end of this one.
+constexpr unsigned maxHandOverAttempts = 3;
+/// Others count this instance for the reserve when they have read the list with it. Watchers read
+/// it as soon as an instance states that it is newer than theirs.
+constexpr duration listTravelTime = seconds(5);
 
 bool isLive(const member &m)
 {
@@ -58,6 +51,10 @@
     , messagesFailed(set.at("allotments.messages_failed"))
     , messagesReceived(set.at("allotments.messages_received"))
     , ownedTeams(set.at("allotments.owned_teams"))
+    , claimsSent(set.at("allotments.claims_sent"))
+    , bucketsBegun(set.at("allotments.buckets_begun"))
+    , bucketsTakenOver(set.at("allotments.buckets_taken_over"))
+    , bucketsReleased(set.at("allotments.buckets_released"))
 {
 }
 
@@ -69,7 +66,14 @@
     , m_options(std::move(options))
     , m_count(counters)
     , m_client(m_options.self, m_options.process, m_owner, loop.now())
+    , m_claims({m_options.self, m_options.address}, m_options.process, m_owner,
+               {[this](const team_name &team) { m_client.dropTokens(team, m_loop.now()); },
+                [this](const team_name &team) { onOwnerChanged(team); },
+                [this](const char *event, const team_name &team, const instance_id &other) {
+                    logBucket(event, team, other);
+                }})
     , m_timer(loop, [this] { onTimer(); })
+    , m_claimTimer(loop, [this] { sendDueClaims(); })
 {
 }
 
@@ -108,43 +112,75 @@
 void allotment_exchange::applyTerms()
 {
     const time_point now = m_loop.now();
-    m_addresses.clear();
+    const bool isListed = !m_options.isListed || m_options.isListed();
+    listed_instances listed;
+    if (m_options.listRevision)
+        listed.revision = m_options.listRevision();
     std::vector<instance_id> instances;
     if (isEnabled()) {
         for (const auto &[id, m] : m_options.members()) {
-            if (!isLive(m))
+            if (!isLive(m) || (id == m_options.self && !isListed))
                 continue;
             instances.push_back(id);
-            m_addresses.emplace(id, m.peers);
+            listed.addresses.emplace(id, m.peers);
         }
     }
-    std::map<team_name, allotment_bounds> owned;
+    if (!m_listedAt && listed.addresses.count(m_options.self) != 0) {
+        m_listedAt = now;
+        m_client.setReserveFrom(now + listTravelTime);
+    }
+    std::map<team_name, allotment_bounds> bounds;
     std::map<team_name, allotment_client::team_terms> terms;
+    std::vector<team_name> teams;
     for (const auto &[team, allotment] : m_allotments) {
-        const allotment_bounds bounds(allotment, m_options.tolerance);
-        const auto owner = ownerOf(team, instances);
-        if (owner == m_options.self)
-            owned.emplace(team, bounds);
-        terms.emplace(team, allotment_client::team_terms{bounds, owner});
-    }
-    std::set<instance_id> owners;
-    for (const auto &[team, t] : terms) {
-        if (t.owner && *t.owner != m_options.self)
-            owners.insert(*t.owner);
+        bounds.emplace(team, allotment_bounds(allotment, m_options.tolerance));
+        terms.emplace(team, allotment_client::team_terms{bounds.at(team), std::nullopt});
+        teams.push_back(team);
     }
+    m_owner.setBounds(bounds, now);
+    m_claims.setTeams(teams, now);
+    m_claims.setInstances(std::move(listed), now);
     m_owners.clear();
-    for (const auto &owner : owners)
-        m_owners.push_back(m_addresses.at(owner));
-    m_count.ownedTeams.set(owned.size());
-    m_owner.setTeams(owned, now);
+    std::set<instance_id> known;
+    for (auto &[team, t] : terms) {
+        const auto owner = m_claims.ownerOf(team);
+        if (!owner)
+            continue;
+        t.owner = owner->id;
+        m_addresses[owner->id] = owner->address;
+        if (owner->id != m_options.self && known.insert(owner->id).second)
+            m_owners.push_back(*owner);
+    }
+    m_count.ownedTeams.set(m_owner.size());
     m_client.setTeams(terms, std::move(instances), now);
     if (!isEnabled())
         m_probeTimer.cancel();
     else if (!m_probeTimer)
         probe();
+    sendDueClaims();
     sendDueMessages();
 }
 
+void allotment_exchange::onOwnerChanged(const team_name &team)
+{
+    const auto owner = m_claims.ownerOf(team);
+    if (owner)
+        m_addresses[owner->id] = owner->address;
+    m_client.setOwner(team, owner ? std::optional(owner->id) : std::nullopt, m_loop.now());
+}
+
+void allotment_exchange::logBucket(const char *event, const team_name &team,
+                                   const instance_id &other)
+{
+    const std::string_view what = event;
+    counter &counted = what == "allotment_begun"        ? m_count.bucketsBegun
+                       : what == "allotment_taken_over" ? m_count.bucketsTakenOver
+                                                        : m_count.bucketsReleased;
+    counted.add();
+    m_count.ownedTeams.set(m_owner.size());
+    m_log.decision(event).add("team", team.value()).add("instance", other.value());
+}
+
 void allotment_exchange::count(const allotment_decision &decision) const
 {
     switch (decision.verdict) {
@@ -196,23 +232,47 @@
         m_timer.wakeAt(*next);
 }
 
-void allotment_exchange::send(const instance_id &to, const allotment_request &request)
+allotment_request allotment_exchange::makeMessage() const
+{
+    allotment_request message;
+    message.sender = {m_options.self, m_options.process, 0};
+    message.address = m_options.address;
+    message.version = m_version;
+    message.listRevision = m_claims.listRevision();
+    return message;
+}
+
+void allotment_exchange::sendMessage(const endpoint &to, const allotment_request &message,
+                                     outcome_hook done)
 {
-    http_request message;
-    message.method = http_method::Post;
-    message.path = allotmentPath;
-    message.lane = allotmentPath;
-    message.body = encodeAllotmentRequest(request);
+    http_request request;
+    request.method = http_method::Post;
+    request.path = allotmentPath;
+    request.lane = allotmentPath;
+    request.body = encodeAllotmentRequest(message);
     m_count.messagesSent.add();
-    const auto address = m_addresses.find(to);
-    m_http.send(address == m_addresses.end() ? endpoint() : address->second, message, replyTimeout,
-                [this, to, alive = std::weak_ptr<int>(m_alive)](const http_outcome &outcome) {
+    m_http.send(to, request, replyTimeout,
+                [done = std::move(done),
+                 alive = std::weak_ptr<int>(m_alive)](const http_outcome &outcome) {
                     if (!alive.expired())
-                        onOutcome(to, outcome);
+                        done(outcome);
+                });
+}
+
+void allotment_exchange::send(const instance_id &to, const allotment_request &request)
+{
+    allotment_request message = makeMessage();
+    message.sender = request.sender;
+    message.reports = request.reports;
+    const auto address = m_addresses.find(to);
+    sendMessage(address == m_addresses.end() ? endpoint() : address->second, message,
+                [this, to, sentAt = m_loop.now()](const http_outcome &outcome) {
+                    onOutcome(to, sentAt, outcome);
                 });
 }
 
-void allotment_exchange::onOutcome(const instance_id &from, const http_outcome &outcome)
+void allotment_exchange::onOutcome(const instance_id &from, time_point sentAt,
+                                   const http_outcome &outcome)
 {
     const time_point now = m_loop.now();
     const char *reason = "no reply";
@@ -220,10 +280,8 @@
         m_client.onPeerHeard(now);
         reason = "the instance has no such message; it runs an earlier build";
         if (outcome.reply.status == ok) {
-            if (const auto reply = decodeAllotmentReply(outcome.reply.body)) {
-                m_client.onReply(from, reply.value(), now);
-                return sendDueMessages();
-            }
+            if (const auto reply = decodeAllotmentReply(outcome.reply.body))
+                return onReply(from, reply.value());
             reason = "the reply is malformed";
         }
     }
@@ -232,6 +290,59 @@
             .add("instance", from.value())
             .add("reason", reason);
     m_client.onNoReply(from, now);
+    if (outcome.isRefused)
+        onEnded(from);
+    else if (!outcome.ok() && now - sentAt < replyTimeout && m_addresses.count(from) != 0)
+        check({from, m_addresses.at(from)});
+    sendDueMessages();
+}
+
+void allotment_exchange::onReply(const instance_id &from, const allotment_reply &reply)
+{
+    for (const auto &grant : reply.grants) {
+        if (!grant.isOwner)
+            m_claims.onOwnerNamed(grant.team, grant.owner);
+    }
+    m_client.onReply(from, reply, m_loop.now());
+    sendDueMessages();
+}
+
+void allotment_exchange::sendDueClaims()
+{
+    if (!isEnabled())
+        return;
+    for (const outgoing_claim &claim : m_claims.takeDue(m_loop.now())) {
+        allotment_request message = makeMessage();
+        message.claims = claim.teams;
+        message.isFinalClaim = claim.isFinal;
+        message.ended = m_claims.ended();
+        m_count.claimsSent.add();
+        sendMessage(claim.to.address, message,
+                    [this, claim](const http_outcome &outcome) { onClaimOutcome(claim, outcome); });
+    }
+    if (const auto next = m_claims.nextDue())
+        m_claimTimer.wakeAt(*next);
+}
+
+void allotment_exchange::onClaimOutcome(const outgoing_claim &claim, const http_outcome &outcome)
+{
+    const time_point now = m_loop.now();
+    if (outcome.ok())
+        m_client.onPeerHeard(now);
+    const auto reply = outcome.ok() && outcome.reply.status == ok
+                               ? decodeAllotmentReply(outcome.reply.body)
+                               : result<allotment_reply>(allotment_reply());
+    // Earlier builds state no version and answer no claims.
+    const bool isUnanswered =
+            reply && reply.value().answers.empty() && reply.value().version.value() != 0;
+    if (!outcome.ok() || !reply || isUnanswered) {
+        m_claims.onNoAnswer(claim, now);
+        if (outcome.isRefused)
+            onEnded(claim.to.id);
+    } else {
+        m_claims.onAnswers(claim, reply.value().answers, now);
+    }
+    sendDueClaims();
     sendDueMessages();
 }
 
@@ -243,8 +354,121 @@
         client.reply({400, {}, read.error().message + "\n"});
         return;
     }
+    const allotment_request &message = read.value();
+    const time_point now = m_loop.now();
     onPeerHeard();
-    client.reply({ok, {}, encodeAllotmentReply(m_owner.handle(read.value(), m_loop.now()))});
+    m_claims.onHeard(message.sender.instance, message.sender.process);
+    allotment_reply reply;
+    reply.version = m_version;
+    reply.grants.reserve(message.reports.size());
+    for (const auto &report : message.reports)
+        reply.grants.push_back(answerReport(message.sender, report));
+    if (message.address) {
+        const claimant from{message.sender, *message.address, message.listRevision, message.ended};
+        for (const auto &team : message.claims)
+            reply.answers.push_back(m_claims.onClaim(from, team, message.isFinalClaim, now));
+        for (const auto &bucket : message.handedOver)
+            reply.answers.push_back(m_claims.onHandedOver(from, bucket, now));
+    }
+    client.reply({ok, {}, encodeAllotmentReply(reply)});
+    if (!reply.answers.empty())
+        sendDueClaims();
+}
+
+allotment_grant allotment_exchange::answerReport(const allotment_sender &sender,
+                                                 const allotment_report &report)
+{
+    const time_point now = m_loop.now();
+    allotment_bucket *bucket = m_owner.find(report.team);
+    // An instance that was cut off may have been replaced as the owner.
+    if (bucket != nullptr && !m_client.isIsolated(now))
+        return bucket->handle(sender, report, now);
+    allotment_grant grant;
+    grant.team = report.team;
+    grant.isOwner = false;
+    if (bucket != nullptr)
+        return grant;
+    const auto owner = m_claims.ownerOf(report.team);
+    if (owner && owner->id != sender.instance)
+        grant.owner = owner;
+    auto before = m_claims.instancesBefore(report.team);
+    before.resize(std::min(before.size(), maxChecked));
+    for (const auto &peer : before) {
+        if (peer.id != sender.instance)
+            check(peer);
+    }
+    return grant;
+}
+
+void allotment_exchange::check(const allotment_peer &peer)
+{
+    const time_point now = m_loop.now();
+    auto &checkedAt = m_checkedAt[peer.id];
+    if (checkedAt != time_point() && now - checkedAt < checkInterval)
+        return;
+    checkedAt = now;
+    sendEmpty(peer);
+}
+
+void allotment_exchange::onEnded(const instance_id &id)
+{
+    m_log.decision("allotment_owner_ended").add("instance", id.value());
+    m_claims.onEnded(id, m_loop.now());
+    sendDueClaims();
+    sendDueMessages();
+}
+
+void allotment_exchange::handOver()
+{
+    std::map<instance_id, std::vector<allotment_bucket_state>> byInstance;
+    std::map<instance_id, allotment_peer> successors;
+    const time_point now = m_loop.now();
+    m_claims.stop();
+    for (const auto &team : m_owner.teams()) {
+        const auto successor = m_claims.successorOf(team);
+        auto bucket = m_owner.release(team, now);
+        if (!successor || !bucket)
+            continue;
+        logBucket("allotment_released", team, successor->id);
+        byInstance[successor->id].push_back(std::move(*bucket));
+        successors.emplace(successor->id, *successor);
+        m_claims.onOwnerNamed(team, successor);
+    }
+    for (const auto &[id, buckets] : byInstance)
+        handOver(successors.at(id), buckets, 1);
+    sendDueMessages();
+}
+
+void allotment_exchange::handOver(const allotment_peer &to,
+                                  const std::vector<allotment_bucket_state> &buckets,
+                                  unsigned attempts)
+{
+    allotment_request message = makeMessage();
+    message.handedOver = buckets;
+    sendMessage(to.address, message, [this, to, buckets, attempts](const http_outcome &outcome) {
+        const auto reply = outcome.ok() && outcome.reply.status == ok
+                                   ? decodeAllotmentReply(outcome.reply.body)
+                                   : result<allotment_reply>(allotment_reply());
+        if (!outcome.ok() || !reply) {
+            // The instance may have taken the buckets over all the same, so that no other one may.
+            m_log.decision("allotment_not_handed_over")
+                    .add("instance", to.id.value())
+                    .add("teams", static_cast<std::int64_t>(buckets.size()));
+            return;
+        }
+        for (const auto &answer : reply.value().answers) {
+            const auto bucket =
+                    std::find_if(buckets.begin(), buckets.end(),
+                                 [&answer](const auto &b) { return b.team == answer.team; });
+            const bool isPassedOn = answer.result == claim_result::Outranked && answer.owner &&
+                                    answer.owner->id != m_options.self && bucket != buckets.end() &&
+                                    attempts < maxHandOverAttempts;
+            if (!isPassedOn)
+                continue;
+            m_claims.onOwnerNamed(answer.team, answer.owner);
+            handOver(*answer.owner, {*bucket}, attempts + 1);
+        }
+    });
 }
 
 void allotment_exchange::probe()
@@ -255,30 +479,27 @@
             m_loop.schedule(isFirstRound ? firstRoundInterval : probeInterval, [this] { probe(); });
     if (!m_owners.empty())
         sendEmpty(m_owners[m_nextOwner++ % m_owners.size()]);
-    if (m_client.silence(m_loop.now()) < probeAfterSilence || m_addresses.size() < 2)
+    const instance_addresses &instances = m_claims.instances();
+    const std::size_t others = instances.size() - instances.count(m_options.self);
+    if (m_client.silence(m_loop.now()) < probeAfterSilence || others == 0)
         return;
-    auto target = std::next(m_addresses.begin(),
-                            static_cast<std::ptrdiff_t>(m_nextProbe++ % m_addresses.size()));
+    auto target = std::next(instances.begin(),
+                            static_cast<std::ptrdiff_t>(m_nextProbe++ % instances.size()));
     if (target->first == m_options.self) {
-        if (++target == m_addresses.end())
-            target = m_addresses.begin();
+        if (++target == instances.end())
+            target = instances.begin();
     }
-    sendEmpty(target->second);
+    sendEmpty({target->first, target->second});
 }
 
-void allotment_exchange::sendEmpty(const endpoint &to)
+void allotment_exchange::sendEmpty(const allotment_peer &to)
 {
-    http_request message;
-    message.method = http_method::Post;
-    message.path = allotmentPath;
-    message.lane = allotmentPath;
-    message.body = encodeAllotmentRequest({{m_options.self, m_options.process, 0}, {}});
-    m_count.messagesSent.add();
-    m_http.send(to, message, replyTimeout,
-                [this, alive = std::weak_ptr<int>(m_alive)](const http_outcome &outcome) {
-                    if (!alive.expired() && outcome.ok())
-                        m_client.onPeerHeard(m_loop.now());
-                });
+    sendMessage(to.address, makeMessage(), [this, id = to.id](const http_outcome &outcome) {
+        if (outcome.ok())
+            m_client.onPeerHeard(m_loop.now());
+        else if (outcome.isRefused)
+            onEnded(id);
+    });
 }
 
 } // namespace peridotwheel
--- a/lib/gateway/allotment_exchange.h
+++ b/lib/gateway/allotment_exchange.h
@@ -1,6 +1,7 @@
 #ifndef PERIDOTWHEEL_LIB_GATEWAY_ALLOTMENT_EXCHANGE_H
 #define PERIDOTWHEEL_LIB_GATEWAY_ALLOTMENT_EXCHANGE_H
 
+#include "allotment_claims.h"
 #include "allotment_client.h"
 #include "allotment_owner.h"
 #include "peridotwheel/gateway/gateway_settings.h"
@@ -31,6 +32,12 @@
     allotment_tolerance tolerance;
     /// Returns the instances that this one knows, itself included; none while they are unknown.
     std::function<const member_map &()> members;
+    /// Address at which this instance answers messages of others.
+    endpoint address;
+    /// Returns whether the store's list of instances has this one, and the position of the store at
+    /// which the list was read. Without these hooks, this instance is in a list that never changes.
+    std::function<bool()> isListed;
+    std::function<object_version()> listRevision;
 };
 
 /// Enforces the allotments of teams over all instances: exchanges messages between the client part
@@ -55,6 +62,8 @@
     void giveBack(const allotment_token &token);
     /// Answers `POST /peer/allotments`.
     void handleRequest(const opaque_request &request, http_responder &client);
+    /// Hands all buckets over to other instances, because this one ends.
+    void handOver();
 
 private:
     /// Counters, looked up once.
@@ -72,6 +81,10 @@
         counter &messagesFailed;
         counter &messagesReceived;
         counter &ownedTeams;
+        counter &claimsSent;
+        counter &bucketsBegun;
+        counter &bucketsTakenOver;
+        counter &bucketsReleased;
     };
 
     bool isEnabled() const { return !m_allotments.empty(); }
@@ -81,11 +94,25 @@
     /// Sends the messages that are due and schedules the next ones.
     void sendDueMessages();
     void send(const instance_id &to, const allotment_request &request);
-    void onOutcome(const instance_id &from, const http_outcome &outcome);
+    void onOutcome(const instance_id &from, time_point sentAt, const http_outcome &outcome);
+    void onReply(const instance_id &from, const allotment_reply &reply);
+    /// Sends the claims that are due and schedules the next ones.
+    void sendDueClaims();
+    void onClaimOutcome(const outgoing_claim &claim, const http_outcome &outcome);
+    void handOver(const allotment_peer &to, const std::vector<allotment_bucket_state> &buckets,
+                  unsigned attempts);
+    allotment_request makeMessage() const;
+    void sendMessage(const endpoint &to, const allotment_request &message, outcome_hook done);
+    void onOwnerChanged(const team_name &team);
+    void logBucket(const char *event, const team_name &team, const instance_id &other);
+    allotment_grant answerReport(const allotment_sender &sender, const allotment_report &report);
     /// Sends an empty message to the next owner, and to any instance if none was heard of for a
     /// while.
     void probe();
-    void sendEmpty(const endpoint &to);
+    void sendEmpty(const allotment_peer &to);
+    /// Finds out whether the process of an instance has ended.
+    void check(const allotment_peer &peer);
+    void onEnded(const instance_id &id);
 
     event_loop &m_loop;
     http_client &m_http;
@@ -97,11 +124,15 @@
     std::map<instance_id, endpoint> m_addresses;
     allotment_owner m_owner;
     allotment_client m_client;
+    allotment_claims m_claims;
     /// Instances that own teams, this one excluded.
-    std::vector<endpoint> m_owners;
+    std::vector<allotment_peer> m_owners;
     std::size_t m_nextOwner = 0;
     std::size_t m_nextProbe = 0;
+    std::map<instance_id, time_point> m_checkedAt;
+    std::optional<time_point> m_listedAt;
     earliest_timer m_timer;
+    earliest_timer m_claimTimer;
     timer m_probeTimer;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
--- a/lib/gateway/allotment_owner.cpp
+++ b/lib/gateway/allotment_owner.cpp
@@ -4,32 +4,43 @@
 
 namespace peridotwheel {
 
-void allotment_owner::setTeams(const std::map<team_name, allotment_bounds> &owned, time_point now)
+void allotment_owner::setBounds(const std::map<team_name, allotment_bounds> &bounds, time_point now)
 {
-    for (auto it = m_buckets.begin(); it != m_buckets.end();)
-        it = owned.count(it->first) != 0 ? std::next(it) : m_buckets.erase(it);
-    for (const auto &[team, bounds] : owned) {
-        const auto [it, isNew] = m_buckets.try_emplace(team, bounds, now);
-        if (!isNew)
-            it->second.setBounds(bounds, now);
+    m_bounds = bounds;
+    for (auto it = m_buckets.begin(); it != m_buckets.end();) {
+        const auto known = m_bounds.find(it->first);
+        if (known == m_bounds.end()) {
+            it = m_buckets.erase(it);
+            continue;
+        }
+        it->second.setBounds(known->second, now);
+        ++it;
     }
 }
 
-allotment_reply allotment_owner::handle(const allotment_request &request, time_point now)
+void allotment_owner::begin(const team_name &team, bucket_id id, time_point now)
 {
-    allotment_reply reply;
-    reply.grants.reserve(request.reports.size());
-    for (const auto &report : request.reports) {
-        if (allotment_bucket *bucket = find(report.team)) {
-            reply.grants.push_back(bucket->handle(request.sender, report, now));
-            continue;
-        }
-        allotment_grant grant;
-        grant.team = report.team;
-        grant.isOwner = false;
-        reply.grants.push_back(grant);
-    }
-    return reply;
+    const auto bounds = m_bounds.find(team);
+    if (bounds != m_bounds.end())
+        m_buckets.try_emplace(team, bounds->second, id, now);
+}
+
+bool allotment_owner::adopt(const allotment_bucket_state &state, time_point now)
+{
+    const auto bounds = m_bounds.find(state.team);
+    return bounds != m_bounds.end() &&
+           m_buckets.try_emplace(state.team, bounds->second, state, now).second;
+}
+
+std::optional<allotment_bucket_state> allotment_owner::release(const team_name &team,
+                                                               time_point now)
+{
+    const auto found = m_buckets.find(team);
+    if (found == m_buckets.end())
+        return std::nullopt;
+    auto state = found->second.state(team, now);
+    m_buckets.erase(found);
+    return state;
 }
 
 allotment_bucket *allotment_owner::find(const team_name &team)
@@ -38,4 +49,13 @@
     return found == m_buckets.end() ? nullptr : &found->second;
 }
 
+std::vector<team_name> allotment_owner::teams() const
+{
+    std::vector<team_name> out;
+    out.reserve(m_buckets.size());
+    for (const auto &[team, bucket] : m_buckets)
+        out.push_back(team);
+    return out;
+}
+
 } // namespace peridotwheel
--- a/lib/gateway/gateway_instance.cpp
+++ b/lib/gateway/gateway_instance.cpp
@@ -140,7 +140,9 @@
     , m_invalidEras(std::move(environment.invalidEras))
     , m_allotments(loop, environment.http, m_counters, log,
                    {m_settings.id, start_id(seed), m_settings.allotments,
-                    [this]() -> const member_map & { return knownMembers(); }})
+                    [this]() -> const member_map & { return knownMembers(); }, m_settings.peers,
+                    [this] { return m_directory.isListed(); },
+                    [this] { return m_directory.revision(); }})
     , m_exchange(loop, m_view, m_directory, environment.http, log,
                  {seed, m_settings.applyWithin, m_settings.link},
                  {[this] { return m_gateway.takeReports(); },
@@ -298,6 +300,7 @@
     m_onStopped = std::move(done);
     m_stopDeadline = m_loop.now() + m_settings.stopWithin - stopMargin;
     m_directory.deregister();
+    m_allotments.handOver();
     m_gateway.finishBy(m_stopDeadline - lastAnswerMargin);
     m_callers.beginDrain();
     const duration accept = std::min(acceptDurationAfterStop, m_settings.stopWithin / 2);
--- a/lib/gateway/instance_directory.cpp
+++ b/lib/gateway/instance_directory.cpp
@@ -25,6 +25,10 @@
 constexpr duration retryDelay = seconds(1);
 /// After the store's return, the watchers read the list soon and again once all have registered.
 constexpr duration returnReadAfter = milliseconds(200);
+/// Delay before the list is read because of a new entry, and least time between two such reads:
+/// many instances may start together.
+constexpr duration entryReadDelay = milliseconds(50);
+constexpr duration entryReadInterval = seconds(1);
 /// All instances find at once that they are missing from the store. One registration in this time
 /// keeps them below half of the writes that the store accepts.
 constexpr duration registrationSpacing = milliseconds(5);
@@ -122,6 +126,18 @@
             returnReadAfter, [this] { readAll(); }, m_readTimer);
 }
 
+void instance_directory::onEntryKnown(object_version entry)
+{
+    if (!m_reading || !m_hasBeenRead || entry <= m_revision)
+        return;
+    const time_point now = m_loop.now();
+    if (now < m_nextEntryRead)
+        return;
+    m_nextEntryRead = now + entryReadInterval;
+    scheduleWithJitter(
+            entryReadDelay, [this] { readAll(); }, m_readTimer);
+}
+
 duration instance_directory::registrationTime() const
 {
     return scaled(registrationSpacing, static_cast<double>(m_members.size()));
@@ -161,6 +177,10 @@
 {
     if (written) {
         m_ownVersion = written.value();
+        // Only a list with the own entry shows the instances that were registered before.
+        if (m_hasBeenRead && m_revision < *m_ownVersion)
+            scheduleWithJitter(
+                    entryReadDelay, [this] { readAll(); }, m_ownReadTimer);
         return;
     }
     // A conflict means that an earlier run under the same id left its object, which serves as well.
@@ -222,6 +242,7 @@
         if (auto m = memberOf(object))
             m_members.emplace(m->id, std::move(*m));
     }
+    m_isListed = hasOwn;
     if (m_loop.now() < m_keepUnlistedUntil)
         keepUnlistedMembers(former);
     const bool wasRemoved =
@@ -263,6 +284,7 @@
     m_isDeregistered = true;
     m_registrationTimer.cancel();
     m_readTimer.cancel();
+    m_ownReadTimer.cancel();
     if (!m_ownVersion)
         return;
     m_store.remove(
--- a/lib/gateway/instance_directory.h
+++ b/lib/gateway/instance_directory.h
@@ -51,6 +51,11 @@
     void merge(const std::vector<platform_object> &objects, object_version revision);
     /// Reads the store soon if this instance reads it and the list here is from an earlier era.
     void onStoreReturned(store_era era);
+    /// Reads the store soon if this instance reads it and the list here is older than \p entry, the
+    /// entry of another instance.
+    void onEntryKnown(object_version entry);
+    /// Position of this instance's own entry, if it was written by this process.
+    const std::optional<object_version> &ownVersion() const { return m_ownVersion; }
     const std::vector<platform_object> &objects() const { return m_objects; }
     object_version revision() const { return m_revision; }
     /// Revision of the last list that differed from the one before.
@@ -61,6 +66,8 @@
     void removeLost(const instance_id &id);
     const member &self() const { return m_self; }
     const member_map &members() const { return m_members; }
+    /// Whether the last list has this instance's own entry.
+    bool isListed() const { return m_isListed; }
     /// Whether a list has been received, from the store or from another instance.
     bool hasBeenRead() const { return m_hasBeenRead; }
 
@@ -89,16 +96,20 @@
     object_version m_revision;
     object_version m_lastChangeRevision;
     bool m_hasBeenRead = false;
+    bool m_isListed = false;
     bool m_isDeregistered = false;
     bool m_reading = false;
     bool m_isSecondReadDue = true;
     /// Latest era whose list was requested because of the store's return.
     store_era m_requestedEra;
+    /// No list is read before because of a new entry.
+    time_point m_nextEntryRead{};
     /// Members that are not listed are kept until then.
     time_point m_keepUnlistedUntil{};
     std::optional<object_version> m_ownVersion;
     timer m_registrationTimer;
     timer m_readTimer;
+    timer m_ownReadTimer;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
--- a/lib/gateway/view_codec.cpp
+++ b/lib/gateway/view_codec.cpp
@@ -171,6 +171,10 @@
         out.__set_reports(toWire(*at.reports));
     out.__set_fetchesConfiguration(at.fetchesConfiguration);
     out.__set_readsCompressedLists(at.readsCompressedLists);
+    if (at.registeredAt) {
+        out.__set_registeredAt(static_cast<std::int64_t>(at.registeredAt->value()));
+        out.__set_registeredEra(eraOf(*at.registeredAt));
+    }
     return encodeThrift(out);
 }
 
@@ -187,6 +191,8 @@
         out.reports = fromWire(in.reports);
     out.fetchesConfiguration = in.__isset.fetchesConfiguration && in.fetchesConfiguration;
     out.readsCompressedLists = in.__isset.readsCompressedLists && in.readsCompressedLists;
+    if (in.__isset.registeredAt)
+        out.registeredAt = position(in.registeredEra, in.registeredAt);
     return out;
 }
 
--- a/lib/gateway/view_codec.h
+++ b/lib/gateway/view_codec.h
@@ -24,6 +24,8 @@
     bool fetchesConfiguration = false;
     /// Whether the requester reads compressed lists. Earlier versions of the program do not.
     bool readsCompressedLists = false;
+    /// Position at which the store took the requester's own entry, if its process wrote one.
+    std::optional<object_version> registeredAt;
 };
 
 std::string encodePosition(const view_position &position);
--- a/lib/gateway/view_exchange.cpp
+++ b/lib/gateway/view_exchange.cpp
@@ -113,6 +113,19 @@
     runCycle();
 }
 
+void view_exchange::announceSelf()
+{
+    // Other instances learn of this one by their watchers, which read the list rarely.
+    // Without a view, a request would be answered with all servers.
+    if (m_isAnnounced || !hasView() || !m_directory.isListed() || !m_directory.ownVersion())
+        return;
+    m_isAnnounced = true;
+    for (const auto &watchers : {m_localWatchers, m_remoteWatchers}) {
+        for (const auto &watcher : watchers)
+            requestView(watcher, false);
+    }
+}
+
 void view_exchange::updateRole()
 {
     watcher_selection_input input{m_members, m_self};
@@ -142,6 +155,7 @@
 void view_exchange::runCycle()
 {
     updateRole();
+    announceSelf();
     if (m_view.isWatching()) {
         poolOwnReports();
         if (m_view.isStoreUnavailable())
@@ -205,8 +219,15 @@
     request.method = http_method::Post;
     request.path = viewPath;
     request.lane = viewPath;
-    request.body = encodePosition({m_view.version(), known, m_directory.revision(), m_self.peers,
-                                   std::move(reports), true, true});
+    view_position position{m_view.version(),
+                           known,
+                           m_directory.revision(),
+                           m_self.peers,
+                           std::move(reports),
+                           true,
+                           true};
+    position.registeredAt = m_directory.ownVersion();
+    request.body = encodePosition(position);
     return request;
 }
 
@@ -307,6 +328,8 @@
     if (requesterIsAhead && position.requesterAddress && viewAge() > m_staleAge)
         requestViewBack(*position.requesterAddress);
     fetchIfBehind(position);
+    if (position.registeredAt)
+        m_directory.onEntryKnown(*position.registeredAt);
     if (position.requesterAddress)
         m_configurationSource.recordHolder(*position.requesterAddress, position.configuration);
     view_snapshot all = m_view.snapshot(position.serversRevision);
--- a/lib/gateway/view_exchange.h
+++ b/lib/gateway/view_exchange.h
@@ -92,6 +92,8 @@
     /// Returns the age of the view, or the time for which its configuration has been outdated.
     duration viewAge() const;
     void runCycle();
+    /// Shows all watchers, once, that the list has a new instance.
+    void announceSelf();
     void updateRole();
     void requestFromLocalWatcher();
     void requestFromOtherPeers();
@@ -123,6 +125,7 @@
     time_point m_startedAt;
     std::vector<endpoint> m_seeds;
     member_map m_members;
+    bool m_isAnnounced = false;
     bool m_hasMembers = false;
     /// Watchers of this data centre, watchers of the others, and all other instances.
     std::vector<endpoint> m_localWatchers;
--- a/lib/http/socket_connector.cpp
+++ b/lib/http/socket_connector.cpp
@@ -141,6 +141,7 @@
         }
         http_outcome outcome;
         outcome.failure = notWritten ? transport_failure::NotSent : transport_failure::MayHaveRun;
+        outcome.isRefused = how == stream_end::Refused;
         finish(std::move(outcome));
     }
 
--- a/lib/http/socket_stream.cpp
+++ b/lib/http/socket_stream.cpp
@@ -179,7 +179,7 @@
     int problem = 0;
     socklen_t size = sizeof problem;
     if (getsockopt(m_fd.get(), SOL_SOCKET, SO_ERROR, &problem, &size) != 0 || problem != 0)
-        return end(stream_end::Broken);
+        return end(problem == ECONNREFUSED ? stream_end::Refused : stream_end::Broken);
     m_connected = true;
     watchRead();
     if (!m_unsent.empty())
--- a/lib/peer/gen/peer_types.cpp
+++ b/lib/peer/gen/peer_types.cpp
@@ -2020,6 +2020,16 @@
   this->instancesEra = val;
 __isset.instancesEra = true;
 }
+
+void ViewRequest::__set_registeredAt(const int64_t val) {
+  this->registeredAt = val;
+__isset.registeredAt = true;
+}
+
+void ViewRequest::__set_registeredEra(const int64_t val) {
+  this->registeredEra = val;
+__isset.registeredEra = true;
+}
 std::ostream& operator<<(std::ostream& out, const ViewRequest& obj)
 {
   obj.printTo(out);
@@ -2135,6 +2145,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->registeredAt);
+          this->__isset.registeredAt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->registeredEra);
+          this->__isset.registeredEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2208,6 +2234,16 @@
     xfer += oprot->writeI64(this->instancesEra);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.registeredAt) {
+    xfer += oprot->writeFieldBegin("registeredAt", ::apache::thrift::protocol::T_I64, 10);
+    xfer += oprot->writeI64(this->registeredAt);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.registeredEra) {
+    xfer += oprot->writeFieldBegin("registeredEra", ::apache::thrift::protocol::T_I64, 11);
+    xfer += oprot->writeI64(this->registeredEra);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2224,6 +2260,8 @@
   swap(a.readsCompressedLists, b.readsCompressedLists);
   swap(a.serversEra, b.serversEra);
   swap(a.instancesEra, b.instancesEra);
+  swap(a.registeredAt, b.registeredAt);
+  swap(a.registeredEra, b.registeredEra);
   swap(a.__isset, b.__isset);
 }
 
@@ -2237,6 +2275,8 @@
   readsCompressedLists = other66.readsCompressedLists;
   serversEra = other66.serversEra;
   instancesEra = other66.instancesEra;
+  registeredAt = other66.registeredAt;
+  registeredEra = other66.registeredEra;
   __isset = other66.__isset;
 }
 ViewRequest& ViewRequest::operator=(const ViewRequest& other67) {
@@ -2249,6 +2289,8 @@
   readsCompressedLists = other67.readsCompressedLists;
   serversEra = other67.serversEra;
   instancesEra = other67.instancesEra;
+  registeredAt = other67.registeredAt;
+  registeredEra = other67.registeredEra;
   __isset = other67.__isset;
   return *this;
 }
@@ -2264,6 +2306,8 @@
   out << ", " << "readsCompressedLists="; (__isset.readsCompressedLists ? (out << to_string(readsCompressedLists)) : (out << "<null>"));
   out << ", " << "serversEra="; (__isset.serversEra ? (out << to_string(serversEra)) : (out << "<null>"));
   out << ", " << "instancesEra="; (__isset.instancesEra ? (out << to_string(instancesEra)) : (out << "<null>"));
+  out << ", " << "registeredAt="; (__isset.registeredAt ? (out << to_string(registeredAt)) : (out << "<null>"));
+  out << ", " << "registeredEra="; (__isset.registeredEra ? (out << to_string(registeredEra)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4268,33 +4312,45 @@
 }
 
 
-AllotmentRequest::~AllotmentRequest() noexcept {
+AllotmentHolder::~AllotmentHolder() noexcept {
 }
 
 
-void AllotmentRequest::__set_sender(const std::string& val) {
-  this->sender = val;
+void AllotmentHolder::__set_instance(const std::string& val) {
+  this->instance = val;
 }
 
-void AllotmentRequest::__set_process(const int64_t val) {
+void AllotmentHolder::__set_process(const int64_t val) {
   this->process = val;
 }
 
-void AllotmentRequest::__set_sequence(const int64_t val) {
+void AllotmentHolder::__set_sequence(const int64_t val) {
   this->sequence = val;
 }
 
-void AllotmentRequest::__set_reports(const std::vector<AllotmentReport> & val) {
-  this->reports = val;
+void AllotmentHolder::__set_used(const int64_t val) {
+  this->used = val;
 }
-std::ostream& operator<<(std::ostream& out, const AllotmentRequest& obj)
+
+void AllotmentHolder::__set_unused(const int32_t val) {
+  this->unused = val;
+}
+
+void AllotmentHolder::__set_presumedUsed(const int32_t val) {
+  this->presumedUsed = val;
+}
+
+void AllotmentHolder::__set_expiryInUs(const int64_t val) {
+  this->expiryInUs = val;
+}
+std::ostream& operator<<(std::ostream& out, const AllotmentHolder& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t AllotmentRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t AllotmentHolder::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4306,10 +4362,13 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  bool isset_sender = false;
+  bool isset_instance = false;
   bool isset_process = false;
   bool isset_sequence = false;
-  bool isset_reports = false;
+  bool isset_used = false;
+  bool isset_unused = false;
+  bool isset_presumedUsed = false;
+  bool isset_expiryInUs = false;
 
   while (true)
   {
@@ -4321,8 +4380,8 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->sender);
-          isset_sender = true;
+          xfer += iprot->readString(this->instance);
+          isset_instance = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4344,21 +4403,33 @@
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->reports.clear();
-            uint32_t _size128;
-            ::apache::thrift::protocol::TType _etype131;
-            xfer += iprot->readListBegin(_etype131, _size128);
-            this->reports.resize(_size128);
-            uint32_t _i132;
-            for (_i132 = 0; _i132 < _size128; ++_i132)
-            {
-              xfer += this->reports[_i132].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          isset_reports = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->used);
+          isset_used = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->unused);
+          isset_unused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->presumedUsed);
+          isset_presumedUsed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->expiryInUs);
+          isset_expiryInUs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4372,24 +4443,30 @@
 
   xfer += iprot->readStructEnd();
 
-  if (!isset_sender)
+  if (!isset_instance)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_process)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_sequence)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_reports)
+  if (!isset_used)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_unused)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_presumedUsed)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_expiryInUs)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
-uint32_t AllotmentRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t AllotmentHolder::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("AllotmentRequest");
+  xfer += oprot->writeStructBegin("AllotmentHolder");
 
-  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->sender);
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->instance);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_I64, 2);
@@ -4400,16 +4477,20 @@
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 4);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<AllotmentReport> ::const_iterator _iter133;
-    for (_iter133 = this->reports.begin(); _iter133 != this->reports.end(); ++_iter133)
-    {
-      xfer += (*_iter133).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("used", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->used);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unused", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->unused);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("presumedUsed", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->presumedUsed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("expiryInUs", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->expiryInUs);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -4417,66 +4498,77 @@
   return xfer;
 }
 
-void swap(AllotmentRequest &a, AllotmentRequest &b) {
+void swap(AllotmentHolder &a, AllotmentHolder &b) {
   using ::std::swap;
-  swap(a.sender, b.sender);
+  swap(a.instance, b.instance);
   swap(a.process, b.process);
   swap(a.sequence, b.sequence);
-  swap(a.reports, b.reports);
-}
-
-AllotmentRequest::AllotmentRequest(const AllotmentRequest& other134) {
-  sender = other134.sender;
-  process = other134.process;
-  sequence = other134.sequence;
-  reports = other134.reports;
-}
-AllotmentRequest& AllotmentRequest::operator=(const AllotmentRequest& other135) {
-  sender = other135.sender;
-  process = other135.process;
-  sequence = other135.sequence;
-  reports = other135.reports;
+  swap(a.used, b.used);
+  swap(a.unused, b.unused);
+  swap(a.presumedUsed, b.presumedUsed);
+  swap(a.expiryInUs, b.expiryInUs);
+}
+
+AllotmentHolder::AllotmentHolder(const AllotmentHolder& other128) {
+  instance = other128.instance;
+  process = other128.process;
+  sequence = other128.sequence;
+  used = other128.used;
+  unused = other128.unused;
+  presumedUsed = other128.presumedUsed;
+  expiryInUs = other128.expiryInUs;
+}
+AllotmentHolder& AllotmentHolder::operator=(const AllotmentHolder& other129) {
+  instance = other129.instance;
+  process = other129.process;
+  sequence = other129.sequence;
+  used = other129.used;
+  unused = other129.unused;
+  presumedUsed = other129.presumedUsed;
+  expiryInUs = other129.expiryInUs;
   return *this;
 }
-void AllotmentRequest::printTo(std::ostream& out) const {
+void AllotmentHolder::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "AllotmentRequest(";
-  out << "sender=" << to_string(sender);
+  out << "AllotmentHolder(";
+  out << "instance=" << to_string(instance);
   out << ", " << "process=" << to_string(process);
   out << ", " << "sequence=" << to_string(sequence);
-  out << ", " << "reports=" << to_string(reports);
+  out << ", " << "used=" << to_string(used);
+  out << ", " << "unused=" << to_string(unused);
+  out << ", " << "presumedUsed=" << to_string(presumedUsed);
+  out << ", " << "expiryInUs=" << to_string(expiryInUs);
   out << ")";
 }
 
 
-AllotmentGrant::~AllotmentGrant() noexcept {
+AllotmentBucket::~AllotmentBucket() noexcept {
 }
 
 
-void AllotmentGrant::__set_team(const std::string& val) {
+void AllotmentBucket::__set_team(const std::string& val) {
   this->team = val;
 }
 
-void AllotmentGrant::__set_tokens(const int32_t val) {
-  this->tokens = val;
+void AllotmentBucket::__set_id(const int64_t val) {
+  this->id = val;
 }
 
-void AllotmentGrant::__set_capacityInUs(const int64_t val) {
-  this->capacityInUs = val;
-__isset.capacityInUs = true;
+void AllotmentBucket::__set_level(const double val) {
+  this->level = val;
 }
 
-void AllotmentGrant::__set_isOwner(const bool val) {
-  this->isOwner = val;
+void AllotmentBucket::__set_holders(const std::vector<AllotmentHolder> & val) {
+  this->holders = val;
 }
-std::ostream& operator<<(std::ostream& out, const AllotmentGrant& obj)
+std::ostream& operator<<(std::ostream& out, const AllotmentBucket& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t AllotmentGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t AllotmentBucket::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4489,8 +4581,9 @@
   using ::apache::thrift::protocol::TProtocolException;
 
   bool isset_team = false;
-  bool isset_tokens = false;
-  bool isset_isOwner = false;
+  bool isset_id = false;
+  bool isset_level = false;
+  bool isset_holders = false;
 
   while (true)
   {
@@ -4509,25 +4602,37 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->tokens);
-          isset_tokens = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          isset_id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->capacityInUs);
-          this->__isset.capacityInUs = true;
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->level);
+          isset_level = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->isOwner);
-          isset_isOwner = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->holders.clear();
+            uint32_t _size130;
+            ::apache::thrift::protocol::TType _etype133;
+            xfer += iprot->readListBegin(_etype133, _size130);
+            this->holders.resize(_size130);
+            uint32_t _i134;
+            for (_i134 = 0; _i134 < _size130; ++_i134)
+            {
+              xfer += this->holders[_i134].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_holders = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4543,33 +4648,42 @@
 
   if (!isset_team)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_tokens)
+  if (!isset_id)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_isOwner)
+  if (!isset_level)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_holders)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
-uint32_t AllotmentGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t AllotmentBucket::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("AllotmentGrant");
+  xfer += oprot->writeStructBegin("AllotmentBucket");
 
   xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->team);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->tokens);
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->id);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.capacityInUs) {
-    xfer += oprot->writeFieldBegin("capacityInUs", ::apache::thrift::protocol::T_I64, 3);
-    xfer += oprot->writeI64(this->capacityInUs);
-    xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeFieldBegin("level", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->level);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
+    std::vector<AllotmentHolder> ::const_iterator _iter135;
+    for (_iter135 = this->holders.begin(); _iter135 != this->holders.end(); ++_iter135)
+    {
+      xfer += (*_iter135).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
   }
-  xfer += oprot->writeFieldBegin("isOwner", ::apache::thrift::protocol::T_BOOL, 4);
-  xfer += oprot->writeBool(this->isOwner);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -4577,56 +4691,105 @@
   return xfer;
 }
 
-void swap(AllotmentGrant &a, AllotmentGrant &b) {
+void swap(AllotmentBucket &a, AllotmentBucket &b) {
   using ::std::swap;
   swap(a.team, b.team);
-  swap(a.tokens, b.tokens);
-  swap(a.capacityInUs, b.capacityInUs);
-  swap(a.isOwner, b.isOwner);
-  swap(a.__isset, b.__isset);
+  swap(a.id, b.id);
+  swap(a.level, b.level);
+  swap(a.holders, b.holders);
 }
 
-AllotmentGrant::AllotmentGrant(const AllotmentGrant& other136) {
+AllotmentBucket::AllotmentBucket(const AllotmentBucket& other136) {
   team = other136.team;
-  tokens = other136.tokens;
-  capacityInUs = other136.capacityInUs;
-  isOwner = other136.isOwner;
-  __isset = other136.__isset;
+  id = other136.id;
+  level = other136.level;
+  holders = other136.holders;
 }
-AllotmentGrant& AllotmentGrant::operator=(const AllotmentGrant& other137) {
+AllotmentBucket& AllotmentBucket::operator=(const AllotmentBucket& other137) {
   team = other137.team;
-  tokens = other137.tokens;
-  capacityInUs = other137.capacityInUs;
-  isOwner = other137.isOwner;
-  __isset = other137.__isset;
+  id = other137.id;
+  level = other137.level;
+  holders = other137.holders;
   return *this;
 }
-void AllotmentGrant::printTo(std::ostream& out) const {
+void AllotmentBucket::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "AllotmentGrant(";
+  out << "AllotmentBucket(";
   out << "team=" << to_string(team);
-  out << ", " << "tokens=" << to_string(tokens);
-  out << ", " << "capacityInUs="; (__isset.capacityInUs ? (out << to_string(capacityInUs)) : (out << "<null>"));
-  out << ", " << "isOwner=" << to_string(isOwner);
+  out << ", " << "id=" << to_string(id);
+  out << ", " << "level=" << to_string(level);
+  out << ", " << "holders=" << to_string(holders);
   out << ")";
 }
 
 
-AllotmentReply::~AllotmentReply() noexcept {
+AllotmentRequest::~AllotmentRequest() noexcept {
 }
 
 
-void AllotmentReply::__set_grants(const std::vector<AllotmentGrant> & val) {
-  this->grants = val;
+void AllotmentRequest::__set_sender(const std::string& val) {
+  this->sender = val;
 }
-std::ostream& operator<<(std::ostream& out, const AllotmentReply& obj)
+
+void AllotmentRequest::__set_process(const int64_t val) {
+  this->process = val;
+}
+
+void AllotmentRequest::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void AllotmentRequest::__set_reports(const std::vector<AllotmentReport> & val) {
+  this->reports = val;
+}
+
+void AllotmentRequest::__set_address(const std::string& val) {
+  this->address = val;
+__isset.address = true;
+}
+
+void AllotmentRequest::__set_claims(const std::vector<std::string> & val) {
+  this->claims = val;
+__isset.claims = true;
+}
+
+void AllotmentRequest::__set_isFinalClaim(const bool val) {
+  this->isFinalClaim = val;
+__isset.isFinalClaim = true;
+}
+
+void AllotmentRequest::__set_ended(const std::vector<std::string> & val) {
+  this->ended = val;
+__isset.ended = true;
+}
+
+void AllotmentRequest::__set_handedOver(const std::vector<AllotmentBucket> & val) {
+  this->handedOver = val;
+__isset.handedOver = true;
+}
+
+void AllotmentRequest::__set_version(const int64_t val) {
+  this->version = val;
+__isset.version = true;
+}
+
+void AllotmentRequest::__set_listedAt(const int64_t val) {
+  this->listedAt = val;
+__isset.listedAt = true;
+}
+
+void AllotmentRequest::__set_listedEra(const int64_t val) {
+  this->listedEra = val;
+__isset.listedEra = true;
+}
+std::ostream& operator<<(std::ostream& out, const AllotmentRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t AllotmentReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t AllotmentRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4638,7 +4801,10 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  bool isset_grants = false;
+  bool isset_sender = false;
+  bool isset_process = false;
+  bool isset_sequence = false;
+  bool isset_reports = false;
 
   while (true)
   {
@@ -4649,21 +4815,837 @@
     switch (fid)
     {
       case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->sender);
+          isset_sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->process);
+          isset_process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          isset_sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->grants.clear();
+            this->reports.clear();
             uint32_t _size138;
             ::apache::thrift::protocol::TType _etype141;
             xfer += iprot->readListBegin(_etype141, _size138);
-            this->grants.resize(_size138);
+            this->reports.resize(_size138);
             uint32_t _i142;
             for (_i142 = 0; _i142 < _size138; ++_i142)
             {
-              xfer += this->grants[_i142].read(iprot);
+              xfer += this->reports[_i142].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          isset_grants = true;
+          isset_reports = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->claims.clear();
+            uint32_t _size143;
+            ::apache::thrift::protocol::TType _etype146;
+            xfer += iprot->readListBegin(_etype146, _size143);
+            this->claims.resize(_size143);
+            uint32_t _i147;
+            for (_i147 = 0; _i147 < _size143; ++_i147)
+            {
+              xfer += iprot->readString(this->claims[_i147]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.claims = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isFinalClaim);
+          this->__isset.isFinalClaim = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->ended.clear();
+            uint32_t _size148;
+            ::apache::thrift::protocol::TType _etype151;
+            xfer += iprot->readListBegin(_etype151, _size148);
+            this->ended.resize(_size148);
+            uint32_t _i152;
+            for (_i152 = 0; _i152 < _size148; ++_i152)
+            {
+              xfer += iprot->readString(this->ended[_i152]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.ended = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->handedOver.clear();
+            uint32_t _size153;
+            ::apache::thrift::protocol::TType _etype156;
+            xfer += iprot->readListBegin(_etype156, _size153);
+            this->handedOver.resize(_size153);
+            uint32_t _i157;
+            for (_i157 = 0; _i157 < _size153; ++_i157)
+            {
+              xfer += this->handedOver[_i157].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.handedOver = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->listedAt);
+          this->__isset.listedAt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->listedEra);
+          this->__isset.listedEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_sender)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_process)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_sequence)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_reports)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t AllotmentRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AllotmentRequest");
+
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->sender);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
+    std::vector<AllotmentReport> ::const_iterator _iter158;
+    for (_iter158 = this->reports.begin(); _iter158 != this->reports.end(); ++_iter158)
+    {
+      xfer += (*_iter158).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.address) {
+    xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 5);
+    xfer += oprot->writeString(this->address);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.claims) {
+    xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 6);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->claims.size()));
+      std::vector<std::string> ::const_iterator _iter159;
+      for (_iter159 = this->claims.begin(); _iter159 != this->claims.end(); ++_iter159)
+      {
+        xfer += oprot->writeString((*_iter159));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.isFinalClaim) {
+    xfer += oprot->writeFieldBegin("isFinalClaim", ::apache::thrift::protocol::T_BOOL, 7);
+    xfer += oprot->writeBool(this->isFinalClaim);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.ended) {
+    xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 8);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->ended.size()));
+      std::vector<std::string> ::const_iterator _iter160;
+      for (_iter160 = this->ended.begin(); _iter160 != this->ended.end(); ++_iter160)
+      {
+        xfer += oprot->writeString((*_iter160));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.handedOver) {
+    xfer += oprot->writeFieldBegin("handedOver", ::apache::thrift::protocol::T_LIST, 9);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->handedOver.size()));
+      std::vector<AllotmentBucket> ::const_iterator _iter161;
+      for (_iter161 = this->handedOver.begin(); _iter161 != this->handedOver.end(); ++_iter161)
+      {
+        xfer += (*_iter161).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.version) {
+    xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 10);
+    xfer += oprot->writeI64(this->version);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.listedAt) {
+    xfer += oprot->writeFieldBegin("listedAt", ::apache::thrift::protocol::T_I64, 11);
+    xfer += oprot->writeI64(this->listedAt);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.listedEra) {
+    xfer += oprot->writeFieldBegin("listedEra", ::apache::thrift::protocol::T_I64, 12);
+    xfer += oprot->writeI64(this->listedEra);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AllotmentRequest &a, AllotmentRequest &b) {
+  using ::std::swap;
+  swap(a.sender, b.sender);
+  swap(a.process, b.process);
+  swap(a.sequence, b.sequence);
+  swap(a.reports, b.reports);
+  swap(a.address, b.address);
+  swap(a.claims, b.claims);
+  swap(a.isFinalClaim, b.isFinalClaim);
+  swap(a.ended, b.ended);
+  swap(a.handedOver, b.handedOver);
+  swap(a.version, b.version);
+  swap(a.listedAt, b.listedAt);
+  swap(a.listedEra, b.listedEra);
+  swap(a.__isset, b.__isset);
+}
+
+AllotmentRequest::AllotmentRequest(const AllotmentRequest& other162) {
+  sender = other162.sender;
+  process = other162.process;
+  sequence = other162.sequence;
+  reports = other162.reports;
+  address = other162.address;
+  claims = other162.claims;
+  isFinalClaim = other162.isFinalClaim;
+  ended = other162.ended;
+  handedOver = other162.handedOver;
+  version = other162.version;
+  listedAt = other162.listedAt;
+  listedEra = other162.listedEra;
+  __isset = other162.__isset;
+}
+AllotmentRequest& AllotmentRequest::operator=(const AllotmentRequest& other163) {
+  sender = other163.sender;
+  process = other163.process;
+  sequence = other163.sequence;
+  reports = other163.reports;
+  address = other163.address;
+  claims = other163.claims;
+  isFinalClaim = other163.isFinalClaim;
+  ended = other163.ended;
+  handedOver = other163.handedOver;
+  version = other163.version;
+  listedAt = other163.listedAt;
+  listedEra = other163.listedEra;
+  __isset = other163.__isset;
+  return *this;
+}
+void AllotmentRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AllotmentRequest(";
+  out << "sender=" << to_string(sender);
+  out << ", " << "process=" << to_string(process);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "reports=" << to_string(reports);
+  out << ", " << "address="; (__isset.address ? (out << to_string(address)) : (out << "<null>"));
+  out << ", " << "claims="; (__isset.claims ? (out << to_string(claims)) : (out << "<null>"));
+  out << ", " << "isFinalClaim="; (__isset.isFinalClaim ? (out << to_string(isFinalClaim)) : (out << "<null>"));
+  out << ", " << "ended="; (__isset.ended ? (out << to_string(ended)) : (out << "<null>"));
+  out << ", " << "handedOver="; (__isset.handedOver ? (out << to_string(handedOver)) : (out << "<null>"));
+  out << ", " << "version="; (__isset.version ? (out << to_string(version)) : (out << "<null>"));
+  out << ", " << "listedAt="; (__isset.listedAt ? (out << to_string(listedAt)) : (out << "<null>"));
+  out << ", " << "listedEra="; (__isset.listedEra ? (out << to_string(listedEra)) : (out << "<null>"));
+  out << ")";
+}
+
+
+AllotmentGrant::~AllotmentGrant() noexcept {
+}
+
+
+void AllotmentGrant::__set_team(const std::string& val) {
+  this->team = val;
+}
+
+void AllotmentGrant::__set_tokens(const int32_t val) {
+  this->tokens = val;
+}
+
+void AllotmentGrant::__set_capacityInUs(const int64_t val) {
+  this->capacityInUs = val;
+__isset.capacityInUs = true;
+}
+
+void AllotmentGrant::__set_isOwner(const bool val) {
+  this->isOwner = val;
+}
+
+void AllotmentGrant::__set_bucket(const int64_t val) {
+  this->bucket = val;
+__isset.bucket = true;
+}
+
+void AllotmentGrant::__set_owner(const std::string& val) {
+  this->owner = val;
+__isset.owner = true;
+}
+
+void AllotmentGrant::__set_ownerAddress(const std::string& val) {
+  this->ownerAddress = val;
+__isset.ownerAddress = true;
+}
+std::ostream& operator<<(std::ostream& out, const AllotmentGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AllotmentGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_team = false;
+  bool isset_tokens = false;
+  bool isset_isOwner = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->team);
+          isset_team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tokens);
+          isset_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->capacityInUs);
+          this->__isset.capacityInUs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isOwner);
+          isset_isOwner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bucket);
+          this->__isset.bucket = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->owner);
+          this->__isset.owner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->ownerAddress);
+          this->__isset.ownerAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_team)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_tokens)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_isOwner)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t AllotmentGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AllotmentGrant");
+
+  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->team);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.capacityInUs) {
+    xfer += oprot->writeFieldBegin("capacityInUs", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->capacityInUs);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("isOwner", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->isOwner);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.bucket) {
+    xfer += oprot->writeFieldBegin("bucket", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->bucket);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.owner) {
+    xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_STRING, 6);
+    xfer += oprot->writeString(this->owner);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.ownerAddress) {
+    xfer += oprot->writeFieldBegin("ownerAddress", ::apache::thrift::protocol::T_STRING, 7);
+    xfer += oprot->writeString(this->ownerAddress);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AllotmentGrant &a, AllotmentGrant &b) {
+  using ::std::swap;
+  swap(a.team, b.team);
+  swap(a.tokens, b.tokens);
+  swap(a.capacityInUs, b.capacityInUs);
+  swap(a.isOwner, b.isOwner);
+  swap(a.bucket, b.bucket);
+  swap(a.owner, b.owner);
+  swap(a.ownerAddress, b.ownerAddress);
+  swap(a.__isset, b.__isset);
+}
+
+AllotmentGrant::AllotmentGrant(const AllotmentGrant& other164) {
+  team = other164.team;
+  tokens = other164.tokens;
+  capacityInUs = other164.capacityInUs;
+  isOwner = other164.isOwner;
+  bucket = other164.bucket;
+  owner = other164.owner;
+  ownerAddress = other164.ownerAddress;
+  __isset = other164.__isset;
+}
+AllotmentGrant& AllotmentGrant::operator=(const AllotmentGrant& other165) {
+  team = other165.team;
+  tokens = other165.tokens;
+  capacityInUs = other165.capacityInUs;
+  isOwner = other165.isOwner;
+  bucket = other165.bucket;
+  owner = other165.owner;
+  ownerAddress = other165.ownerAddress;
+  __isset = other165.__isset;
+  return *this;
+}
+void AllotmentGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AllotmentGrant(";
+  out << "team=" << to_string(team);
+  out << ", " << "tokens=" << to_string(tokens);
+  out << ", " << "capacityInUs="; (__isset.capacityInUs ? (out << to_string(capacityInUs)) : (out << "<null>"));
+  out << ", " << "isOwner=" << to_string(isOwner);
+  out << ", " << "bucket="; (__isset.bucket ? (out << to_string(bucket)) : (out << "<null>"));
+  out << ", " << "owner="; (__isset.owner ? (out << to_string(owner)) : (out << "<null>"));
+  out << ", " << "ownerAddress="; (__isset.ownerAddress ? (out << to_string(ownerAddress)) : (out << "<null>"));
+  out << ")";
+}
+
+
+AllotmentClaimAnswer::~AllotmentClaimAnswer() noexcept {
+}
+
+
+void AllotmentClaimAnswer::__set_team(const std::string& val) {
+  this->team = val;
+}
+
+void AllotmentClaimAnswer::__set_outcome(const int32_t val) {
+  this->outcome = val;
+}
+
+void AllotmentClaimAnswer::__set_bucket(const AllotmentBucket& val) {
+  this->bucket = val;
+__isset.bucket = true;
+}
+
+void AllotmentClaimAnswer::__set_owner(const std::string& val) {
+  this->owner = val;
+__isset.owner = true;
+}
+
+void AllotmentClaimAnswer::__set_ownerAddress(const std::string& val) {
+  this->ownerAddress = val;
+__isset.ownerAddress = true;
+}
+std::ostream& operator<<(std::ostream& out, const AllotmentClaimAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AllotmentClaimAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_team = false;
+  bool isset_outcome = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->team);
+          isset_team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->outcome);
+          isset_outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->bucket.read(iprot);
+          this->__isset.bucket = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->owner);
+          this->__isset.owner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->ownerAddress);
+          this->__isset.ownerAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_team)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_outcome)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t AllotmentClaimAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AllotmentClaimAnswer");
+
+  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->team);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->outcome);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.bucket) {
+    xfer += oprot->writeFieldBegin("bucket", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->bucket.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.owner) {
+    xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_STRING, 4);
+    xfer += oprot->writeString(this->owner);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.ownerAddress) {
+    xfer += oprot->writeFieldBegin("ownerAddress", ::apache::thrift::protocol::T_STRING, 5);
+    xfer += oprot->writeString(this->ownerAddress);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AllotmentClaimAnswer &a, AllotmentClaimAnswer &b) {
+  using ::std::swap;
+  swap(a.team, b.team);
+  swap(a.outcome, b.outcome);
+  swap(a.bucket, b.bucket);
+  swap(a.owner, b.owner);
+  swap(a.ownerAddress, b.ownerAddress);
+  swap(a.__isset, b.__isset);
+}
+
+AllotmentClaimAnswer::AllotmentClaimAnswer(const AllotmentClaimAnswer& other166) {
+  team = other166.team;
+  outcome = other166.outcome;
+  bucket = other166.bucket;
+  owner = other166.owner;
+  ownerAddress = other166.ownerAddress;
+  __isset = other166.__isset;
+}
+AllotmentClaimAnswer& AllotmentClaimAnswer::operator=(const AllotmentClaimAnswer& other167) {
+  team = other167.team;
+  outcome = other167.outcome;
+  bucket = other167.bucket;
+  owner = other167.owner;
+  ownerAddress = other167.ownerAddress;
+  __isset = other167.__isset;
+  return *this;
+}
+void AllotmentClaimAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AllotmentClaimAnswer(";
+  out << "team=" << to_string(team);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "bucket="; (__isset.bucket ? (out << to_string(bucket)) : (out << "<null>"));
+  out << ", " << "owner="; (__isset.owner ? (out << to_string(owner)) : (out << "<null>"));
+  out << ", " << "ownerAddress="; (__isset.ownerAddress ? (out << to_string(ownerAddress)) : (out << "<null>"));
+  out << ")";
+}
+
+
+AllotmentReply::~AllotmentReply() noexcept {
+}
+
+
+void AllotmentReply::__set_grants(const std::vector<AllotmentGrant> & val) {
+  this->grants = val;
+}
+
+void AllotmentReply::__set_answers(const std::vector<AllotmentClaimAnswer> & val) {
+  this->answers = val;
+__isset.answers = true;
+}
+
+void AllotmentReply::__set_version(const int64_t val) {
+  this->version = val;
+__isset.version = true;
+}
+std::ostream& operator<<(std::ostream& out, const AllotmentReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AllotmentReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_grants = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->grants.clear();
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _etype171;
+            xfer += iprot->readListBegin(_etype171, _size168);
+            this->grants.resize(_size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
+            {
+              xfer += this->grants[_i172].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_grants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->answers.clear();
+            uint32_t _size173;
+            ::apache::thrift::protocol::TType _etype176;
+            xfer += iprot->readListBegin(_etype176, _size173);
+            this->answers.resize(_size173);
+            uint32_t _i177;
+            for (_i177 = 0; _i177 < _size173; ++_i177)
+            {
+              xfer += this->answers[_i177].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.answers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4690,15 +5672,33 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<AllotmentGrant> ::const_iterator _iter143;
-    for (_iter143 = this->grants.begin(); _iter143 != this->grants.end(); ++_iter143)
+    std::vector<AllotmentGrant> ::const_iterator _iter178;
+    for (_iter178 = this->grants.begin(); _iter178 != this->grants.end(); ++_iter178)
     {
-      xfer += (*_iter143).write(oprot);
+      xfer += (*_iter178).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.answers) {
+    xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 2);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
+      std::vector<AllotmentClaimAnswer> ::const_iterator _iter179;
+      for (_iter179 = this->answers.begin(); _iter179 != this->answers.end(); ++_iter179)
+      {
+        xfer += (*_iter179).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.version) {
+    xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->version);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4707,19 +5707,30 @@
 void swap(AllotmentReply &a, AllotmentReply &b) {
   using ::std::swap;
   swap(a.grants, b.grants);
+  swap(a.answers, b.answers);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
 }
 
-AllotmentReply::AllotmentReply(const AllotmentReply& other144) {
-  grants = other144.grants;
+AllotmentReply::AllotmentReply(const AllotmentReply& other180) {
+  grants = other180.grants;
+  answers = other180.answers;
+  version = other180.version;
+  __isset = other180.__isset;
 }
-AllotmentReply& AllotmentReply::operator=(const AllotmentReply& other145) {
-  grants = other145.grants;
+AllotmentReply& AllotmentReply::operator=(const AllotmentReply& other181) {
+  grants = other181.grants;
+  answers = other181.answers;
+  version = other181.version;
+  __isset = other181.__isset;
   return *this;
 }
 void AllotmentReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "AllotmentReply(";
   out << "grants=" << to_string(grants);
+  out << ", " << "answers="; (__isset.answers ? (out << to_string(answers)) : (out << "<null>"));
+  out << ", " << "version="; (__isset.version ? (out << to_string(version)) : (out << "<null>"));
   out << ")";
 }
 
--- a/lib/peer/gen/peer_types.h
+++ b/lib/peer/gen/peer_types.h
@@ -59,10 +59,16 @@
 
 class AllotmentReport;
 
+class AllotmentHolder;
+
+class AllotmentBucket;
+
 class AllotmentRequest;
 
 class AllotmentGrant;
 
+class AllotmentClaimAnswer;
+
 class AllotmentReply;
 
 
@@ -677,13 +683,15 @@
 std::ostream& operator<<(std::ostream& out, const RelayCancel& obj);
 
 typedef struct _ViewRequest__isset {
-  _ViewRequest__isset() : askerAt(false), reports(false), fetchesConfiguration(false), readsCompressedLists(false), serversEra(false), instancesEra(false) {}
+  _ViewRequest__isset() : askerAt(false), reports(false), fetchesConfiguration(false), readsCompressedLists(false), serversEra(false), instancesEra(false), registeredAt(false), registeredEra(false) {}
   bool askerAt :1;
   bool reports :1;
   bool fetchesConfiguration :1;
   bool readsCompressedLists :1;
   bool serversEra :1;
   bool instancesEra :1;
+  bool registeredAt :1;
+  bool registeredEra :1;
 } _ViewRequest__isset;
 
 class ViewRequest : public virtual ::apache::thrift::TBase {
@@ -699,7 +707,9 @@
                 fetchesConfiguration(0),
                 readsCompressedLists(0),
                 serversEra(0),
-                instancesEra(0) {
+                instancesEra(0),
+                registeredAt(0),
+                registeredEra(0) {
   }
 
   virtual ~ViewRequest() noexcept;
@@ -712,6 +722,8 @@
   bool readsCompressedLists;
   int64_t serversEra;
   int64_t instancesEra;
+  int64_t registeredAt;
+  int64_t registeredEra;
 
   _ViewRequest__isset __isset;
 
@@ -733,6 +745,10 @@
 
   void __set_instancesEra(const int64_t val);
 
+  void __set_registeredAt(const int64_t val);
+
+  void __set_registeredEra(const int64_t val);
+
   bool operator == (const ViewRequest & rhs) const
   {
     if (!(configurationVersion == rhs.configurationVersion))
@@ -765,6 +781,14 @@
       return false;
     else if (__isset.instancesEra && !(instancesEra == rhs.instancesEra))
       return false;
+    if (__isset.registeredAt != rhs.__isset.registeredAt)
+      return false;
+    else if (__isset.registeredAt && !(registeredAt == rhs.registeredAt))
+      return false;
+    if (__isset.registeredEra != rhs.__isset.registeredEra)
+      return false;
+    else if (__isset.registeredEra && !(registeredEra == rhs.registeredEra))
+      return false;
     return true;
   }
   bool operator != (const ViewRequest &rhs) const {
@@ -1456,6 +1480,144 @@
 std::ostream& operator<<(std::ostream& out, const AllotmentReport& obj);
 
 
+class AllotmentHolder : public virtual ::apache::thrift::TBase {
+ public:
+
+  AllotmentHolder(const AllotmentHolder&);
+  AllotmentHolder& operator=(const AllotmentHolder&);
+  AllotmentHolder() noexcept
+                  : instance(),
+                    process(0),
+                    sequence(0),
+                    used(0),
+                    unused(0),
+                    presumedUsed(0),
+                    expiryInUs(0) {
+  }
+
+  virtual ~AllotmentHolder() noexcept;
+  std::string instance;
+  int64_t process;
+  int64_t sequence;
+  int64_t used;
+  int32_t unused;
+  int32_t presumedUsed;
+  int64_t expiryInUs;
+
+  void __set_instance(const std::string& val);
+
+  void __set_process(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_used(const int64_t val);
+
+  void __set_unused(const int32_t val);
+
+  void __set_presumedUsed(const int32_t val);
+
+  void __set_expiryInUs(const int64_t val);
+
+  bool operator == (const AllotmentHolder & rhs) const
+  {
+    if (!(instance == rhs.instance))
+      return false;
+    if (!(process == rhs.process))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(used == rhs.used))
+      return false;
+    if (!(unused == rhs.unused))
+      return false;
+    if (!(presumedUsed == rhs.presumedUsed))
+      return false;
+    if (!(expiryInUs == rhs.expiryInUs))
+      return false;
+    return true;
+  }
+  bool operator != (const AllotmentHolder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AllotmentHolder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AllotmentHolder &a, AllotmentHolder &b);
+
+std::ostream& operator<<(std::ostream& out, const AllotmentHolder& obj);
+
+
+class AllotmentBucket : public virtual ::apache::thrift::TBase {
+ public:
+
+  AllotmentBucket(const AllotmentBucket&);
+  AllotmentBucket& operator=(const AllotmentBucket&);
+  AllotmentBucket() noexcept
+                  : team(),
+                    id(0),
+                    level(0) {
+  }
+
+  virtual ~AllotmentBucket() noexcept;
+  std::string team;
+  int64_t id;
+  double level;
+  std::vector<AllotmentHolder>  holders;
+
+  void __set_team(const std::string& val);
+
+  void __set_id(const int64_t val);
+
+  void __set_level(const double val);
+
+  void __set_holders(const std::vector<AllotmentHolder> & val);
+
+  bool operator == (const AllotmentBucket & rhs) const
+  {
+    if (!(team == rhs.team))
+      return false;
+    if (!(id == rhs.id))
+      return false;
+    if (!(level == rhs.level))
+      return false;
+    if (!(holders == rhs.holders))
+      return false;
+    return true;
+  }
+  bool operator != (const AllotmentBucket &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AllotmentBucket & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AllotmentBucket &a, AllotmentBucket &b);
+
+std::ostream& operator<<(std::ostream& out, const AllotmentBucket& obj);
+
+typedef struct _AllotmentRequest__isset {
+  _AllotmentRequest__isset() : address(false), claims(false), isFinalClaim(false), ended(false), handedOver(false), version(false), listedAt(false), listedEra(false) {}
+  bool address :1;
+  bool claims :1;
+  bool isFinalClaim :1;
+  bool ended :1;
+  bool handedOver :1;
+  bool version :1;
+  bool listedAt :1;
+  bool listedEra :1;
+} _AllotmentRequest__isset;
+
 class AllotmentRequest : public virtual ::apache::thrift::TBase {
  public:
 
@@ -1464,7 +1626,12 @@
   AllotmentRequest() noexcept
                    : sender(),
                      process(0),
-                     sequence(0) {
+                     sequence(0),
+                     address(),
+                     isFinalClaim(0),
+                     version(0),
+                     listedAt(0),
+                     listedEra(0) {
   }
 
   virtual ~AllotmentRequest() noexcept;
@@ -1472,6 +1639,16 @@
   int64_t process;
   int64_t sequence;
   std::vector<AllotmentReport>  reports;
+  std::string address;
+  std::vector<std::string>  claims;
+  bool isFinalClaim;
+  std::vector<std::string>  ended;
+  std::vector<AllotmentBucket>  handedOver;
+  int64_t version;
+  int64_t listedAt;
+  int64_t listedEra;
+
+  _AllotmentRequest__isset __isset;
 
   void __set_sender(const std::string& val);
 
@@ -1481,6 +1658,22 @@
 
   void __set_reports(const std::vector<AllotmentReport> & val);
 
+  void __set_address(const std::string& val);
+
+  void __set_claims(const std::vector<std::string> & val);
+
+  void __set_isFinalClaim(const bool val);
+
+  void __set_ended(const std::vector<std::string> & val);
+
+  void __set_handedOver(const std::vector<AllotmentBucket> & val);
+
+  void __set_version(const int64_t val);
+
+  void __set_listedAt(const int64_t val);
+
+  void __set_listedEra(const int64_t val);
+
   bool operator == (const AllotmentRequest & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -1491,6 +1684,38 @@
       return false;
     if (!(reports == rhs.reports))
       return false;
+    if (__isset.address != rhs.__isset.address)
+      return false;
+    else if (__isset.address && !(address == rhs.address))
+      return false;
+    if (__isset.claims != rhs.__isset.claims)
+      return false;
+    else if (__isset.claims && !(claims == rhs.claims))
+      return false;
+    if (__isset.isFinalClaim != rhs.__isset.isFinalClaim)
+      return false;
+    else if (__isset.isFinalClaim && !(isFinalClaim == rhs.isFinalClaim))
+      return false;
+    if (__isset.ended != rhs.__isset.ended)
+      return false;
+    else if (__isset.ended && !(ended == rhs.ended))
+      return false;
+    if (__isset.handedOver != rhs.__isset.handedOver)
+      return false;
+    else if (__isset.handedOver && !(handedOver == rhs.handedOver))
+      return false;
+    if (__isset.version != rhs.__isset.version)
+      return false;
+    else if (__isset.version && !(version == rhs.version))
+      return false;
+    if (__isset.listedAt != rhs.__isset.listedAt)
+      return false;
+    else if (__isset.listedAt && !(listedAt == rhs.listedAt))
+      return false;
+    if (__isset.listedEra != rhs.__isset.listedEra)
+      return false;
+    else if (__isset.listedEra && !(listedEra == rhs.listedEra))
+      return false;
     return true;
   }
   bool operator != (const AllotmentRequest &rhs) const {
@@ -1510,8 +1735,11 @@
 std::ostream& operator<<(std::ostream& out, const AllotmentRequest& obj);
 
 typedef struct _AllotmentGrant__isset {
-  _AllotmentGrant__isset() : capacityInUs(false) {}
+  _AllotmentGrant__isset() : capacityInUs(false), bucket(false), owner(false), ownerAddress(false) {}
   bool capacityInUs :1;
+  bool bucket :1;
+  bool owner :1;
+  bool ownerAddress :1;
 } _AllotmentGrant__isset;
 
 class AllotmentGrant : public virtual ::apache::thrift::TBase {
@@ -1523,7 +1751,10 @@
                  : team(),
                    tokens(0),
                    capacityInUs(0),
-                   isOwner(0) {
+                   isOwner(0),
+                   bucket(0),
+                   owner(),
+                   ownerAddress() {
   }
 
   virtual ~AllotmentGrant() noexcept;
@@ -1531,6 +1762,9 @@
   int32_t tokens;
   int64_t capacityInUs;
   bool isOwner;
+  int64_t bucket;
+  std::string owner;
+  std::string ownerAddress;
 
   _AllotmentGrant__isset __isset;
 
@@ -1542,6 +1776,12 @@
 
   void __set_isOwner(const bool val);
 
+  void __set_bucket(const int64_t val);
+
+  void __set_owner(const std::string& val);
+
+  void __set_ownerAddress(const std::string& val);
+
   bool operator == (const AllotmentGrant & rhs) const
   {
     if (!(team == rhs.team))
@@ -1554,6 +1794,18 @@
       return false;
     if (!(isOwner == rhs.isOwner))
       return false;
+    if (__isset.bucket != rhs.__isset.bucket)
+      return false;
+    else if (__isset.bucket && !(bucket == rhs.bucket))
+      return false;
+    if (__isset.owner != rhs.__isset.owner)
+      return false;
+    else if (__isset.owner && !(owner == rhs.owner))
+      return false;
+    if (__isset.ownerAddress != rhs.__isset.ownerAddress)
+      return false;
+    else if (__isset.ownerAddress && !(ownerAddress == rhs.ownerAddress))
+      return false;
     return true;
   }
   bool operator != (const AllotmentGrant &rhs) const {
@@ -1572,24 +1824,120 @@
 
 std::ostream& operator<<(std::ostream& out, const AllotmentGrant& obj);
 
+typedef struct _AllotmentClaimAnswer__isset {
+  _AllotmentClaimAnswer__isset() : bucket(false), owner(false), ownerAddress(false) {}
+  bool bucket :1;
+  bool owner :1;
+  bool ownerAddress :1;
+} _AllotmentClaimAnswer__isset;
+
+class AllotmentClaimAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  AllotmentClaimAnswer(const AllotmentClaimAnswer&);
+  AllotmentClaimAnswer& operator=(const AllotmentClaimAnswer&);
+  AllotmentClaimAnswer() noexcept
+                       : team(),
+                         outcome(0),
+                         owner(),
+                         ownerAddress() {
+  }
+
+  virtual ~AllotmentClaimAnswer() noexcept;
+  std::string team;
+  int32_t outcome;
+  AllotmentBucket bucket;
+  std::string owner;
+  std::string ownerAddress;
+
+  _AllotmentClaimAnswer__isset __isset;
+
+  void __set_team(const std::string& val);
+
+  void __set_outcome(const int32_t val);
+
+  void __set_bucket(const AllotmentBucket& val);
+
+  void __set_owner(const std::string& val);
+
+  void __set_ownerAddress(const std::string& val);
+
+  bool operator == (const AllotmentClaimAnswer & rhs) const
+  {
+    if (!(team == rhs.team))
+      return false;
+    if (!(outcome == rhs.outcome))
+      return false;
+    if (__isset.bucket != rhs.__isset.bucket)
+      return false;
+    else if (__isset.bucket && !(bucket == rhs.bucket))
+      return false;
+    if (__isset.owner != rhs.__isset.owner)
+      return false;
+    else if (__isset.owner && !(owner == rhs.owner))
+      return false;
+    if (__isset.ownerAddress != rhs.__isset.ownerAddress)
+      return false;
+    else if (__isset.ownerAddress && !(ownerAddress == rhs.ownerAddress))
+      return false;
+    return true;
+  }
+  bool operator != (const AllotmentClaimAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AllotmentClaimAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AllotmentClaimAnswer &a, AllotmentClaimAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const AllotmentClaimAnswer& obj);
+
+typedef struct _AllotmentReply__isset {
+  _AllotmentReply__isset() : answers(false), version(false) {}
+  bool answers :1;
+  bool version :1;
+} _AllotmentReply__isset;
 
 class AllotmentReply : public virtual ::apache::thrift::TBase {
  public:
 
   AllotmentReply(const AllotmentReply&);
   AllotmentReply& operator=(const AllotmentReply&);
-  AllotmentReply() noexcept {
+  AllotmentReply() noexcept
+                 : version(0) {
   }
 
   virtual ~AllotmentReply() noexcept;
   std::vector<AllotmentGrant>  grants;
+  std::vector<AllotmentClaimAnswer>  answers;
+  int64_t version;
+
+  _AllotmentReply__isset __isset;
 
   void __set_grants(const std::vector<AllotmentGrant> & val);
 
+  void __set_answers(const std::vector<AllotmentClaimAnswer> & val);
+
+  void __set_version(const int64_t val);
+
   bool operator == (const AllotmentReply & rhs) const
   {
     if (!(grants == rhs.grants))
       return false;
+    if (__isset.answers != rhs.__isset.answers)
+      return false;
+    else if (__isset.answers && !(answers == rhs.answers))
+      return false;
+    if (__isset.version != rhs.__isset.version)
+      return false;
+    else if (__isset.version && !(version == rhs.version))
+      return false;
     return true;
   }
   bool operator != (const AllotmentReply &rhs) const {
--- a/proto/peer.thrift
+++ b/proto/peer.thrift
@@ -109,6 +109,9 @@
   // none.
   8: optional i64 serversEra
   9: optional i64 instancesEra
+  // Revision at which the store took the sender's own entry in the list of instances.
+  10: optional i64 registeredAt
+  11: optional i64 registeredEra
 }
 
 // Measurements of one server by one instance since its last report.
@@ -227,6 +230,27 @@
   5: required i32 inAdvance
 }
 
+// What the owner of a team knows about the tokens of one instance.
+struct AllotmentHolder {
+  1: required string instance
+  2: required i64 process
+  3: required i64 sequence
+  4: required i64 used
+  5: required i32 unused
+  6: required i32 presumedUsed
+  // Microseconds until the tokens expire.
+  7: required i64 expiryInUs
+}
+
+// The bucket of a team, which moves from one owner to the next.
+struct AllotmentBucket {
+  1: required string team
+  // Distinguishes the buckets that a team had one after the other.
+  2: required i64 id
+  3: required double level
+  4: required list<AllotmentHolder> holders
+}
+
 // The body of `POST /peer/allotments`, sent to the owner of the teams. An owner ignores a message
 // whose sequence is not above that of the last one of the same process.
 struct AllotmentRequest {
@@ -235,6 +259,21 @@
   2: required i64 process
   3: required i64 sequence
   4: required list<AllotmentReport> reports
+  // Address at which the sender answers such messages.
+  5: optional string address
+  // Teams whose buckets the sender claims, and whether the receiver must drop its tokens of them,
+  // because the sender begins new buckets once all instances have answered.
+  6: optional list<string> claims
+  7: optional bool isFinalClaim
+  // Instances whose processes have ended as the sender found.
+  8: optional list<string> ended
+  // Buckets that the sender hands over because it ends.
+  9: optional list<AllotmentBucket> handedOver
+  // Version of the sender's configuration.
+  10: optional i64 version
+  // Position of the store at which the sender's list of instances was read.
+  11: optional i64 listedAt
+  12: optional i64 listedEra
 }
 
 struct AllotmentGrant {
@@ -242,11 +281,34 @@
   2: required i32 tokens
   // Set if the allotment is used up: microseconds until it has capacity.
   3: optional i64 capacityInUs
-  // Whether the replying instance is the owner of the team by its own directory.
+  // Whether the replying instance keeps the bucket of the team.
   4: required bool isOwner
+  // The bucket that the tokens are from.
+  5: optional i64 bucket
+  // The instance that keeps the bucket, as far as the replying instance knows, and its address.
+  6: optional string owner
+  7: optional string ownerAddress
+}
+
+// The answer to a claim, or to a bucket that was handed over.
+struct AllotmentClaimAnswer {
+  1: required string team
+  // 0: the replying instance keeps no bucket of the team and will not begin one, or it accepts the
+  // bucket; 1: it hands the bucket over; 2: another instance goes before the sender; 3: it cannot
+  // tell yet.
+  2: required i32 outcome
+  // With outcome 1.
+  3: optional AllotmentBucket bucket
+  // With outcome 2; otherwise the instance that was known as the owner, if any.
+  4: optional string owner
+  5: optional string ownerAddress
 }
 
-// The reply to an AllotmentRequest, with a grant for each of its reports.
+// The reply to an AllotmentRequest, with a grant for each of its reports and an answer for each of
+// its claims and buckets.
 struct AllotmentReply {
   1: required list<AllotmentGrant> grants
+  2: optional list<AllotmentClaimAnswer> answers
+  // Version of the replying instance's configuration.
+  3: optional i64 version
 }
--- a/unittests/gateway/allotment_fleet.cpp
+++ b/unittests/gateway/allotment_fleet.cpp
@@ -8,6 +8,20 @@
 
 namespace peridotwheel {
 
+namespace {
+
+std::uint16_t portOf(std::size_t index)
+{
+    return static_cast<std::uint16_t>(index + 1);
+}
+
+std::size_t indexAt(std::uint16_t port)
+{
+    return port - 1U;
+}
+
+} // namespace
+
 void shared_bucket::settle(time_point now)
 {
     m_level = std::min(m_capacity, m_level + m_rate * toMilliseconds(now - m_settledAt) / 1000);
@@ -50,7 +64,7 @@
     void send(const endpoint &to, const http_request &request, duration timeout,
               outcome_hook done) override
     {
-        m_fleet.exchange(m_index, to.port, request, timeout, done);
+        m_fleet.exchange(m_index, indexAt(to.port), request, timeout, done);
     }
 
 private:
@@ -70,7 +84,9 @@
     counter_set counters;
     decision_log log;
     std::unique_ptr<allotment_exchange> exchange;
-    bool hasMembers = false;
+    /// The list of instances that the process has read, and its revision; 0 if it has read none.
+    member_map members;
+    std::uint64_t listRevision = 0;
 };
 
 allotment_fleet::allotment_fleet(std::size_t instances, std::uint64_t seed)
@@ -94,7 +110,7 @@
         }
     }
     for (std::size_t i = 0; i < instances; ++i)
-        m_members[idOf(i)] = memberAt(idOf(i).value(), static_cast<std::uint16_t>(i));
+        m_members[idOf(i)] = memberAt(idOf(i).value(), portOf(i));
     for (std::size_t i = 0; i < instances; ++i)
         m_nodes.push_back(std::make_unique<node>(*this, i));
     setLimits(1.6);
@@ -140,8 +156,11 @@
     if (!isReachable(from, to))
         return later(timeout, [done, failed] { done(failed); });
     later(messageDelay(), [this, from, to, request, timeout, done, failed] {
-        if (!m_nodes[to]->exchange)
-            return later(messageDelay(), [done, failed] { done(failed); });
+        if (!m_nodes[to]->exchange) {
+            http_outcome refused = failed;
+            refused.isRefused = true;
+            return later(messageDelay(), [done, refused] { done(refused); });
+        }
         opaque_request asked;
         asked.method = "POST";
         asked.target = request.path;
@@ -197,6 +216,16 @@
     }
 }
 
+void allotment_fleet::stop(std::size_t index)
+{
+    m_nodes[index]->exchange->handOver();
+    for (caller &c : m_callers) {
+        while (c.at == index)
+            c.at = m_random.below(m_nodes.size());
+    }
+    later(seconds(2), [this, index] { m_nodes[index]->exchange.reset(); });
+}
+
 void allotment_fleet::kill(std::size_t index)
 {
     m_nodes[index]->exchange.reset();
@@ -209,38 +238,58 @@
 void allotment_fleet::restart(std::size_t index, duration unknownFor)
 {
     node &n = *m_nodes[index];
-    n.hasMembers = false;
+    n.members.clear();
+    n.listRevision = 0;
+    // Numbers of processes are random in the product, so that they differ by much.
+    constexpr std::uint64_t processSpacing = 1'000'000;
+    const instance_id id = idOf(index);
     n.exchange = std::make_unique<allotment_exchange>(
             m_loop, n.client, n.counters, n.log,
-            allotment_exchange_options{idOf(index), start_id(++m_processes), m_tolerance,
-                                       [this, &n]() -> const member_map & {
-                                           return n.hasMembers ? m_members : m_noMembers;
-                                       }});
+            allotment_exchange_options{id, start_id(processSpacing * ++m_processes), m_tolerance,
+                                       [&n]() -> const member_map & { return n.members; },
+                                       endpoint{"10.0.0.1", portOf(index)},
+                                       [&n, id] { return n.members.count(id) != 0; },
+                                       [&n] { return object_version(n.listRevision); }});
     n.exchange->setRoutes(makeRoutes());
-    later(unknownFor, [&n] {
-        n.hasMembers = true;
-        if (n.exchange)
-            n.exchange->updateMembers();
-    });
+    later(unknownFor, [this, index] { readList(index); });
     for (caller &c : m_callers) {
         if (c.home == index)
             c.at = index;
     }
 }
 
-void allotment_fleet::setListed(std::size_t index, bool listed)
+void allotment_fleet::readList(std::size_t index)
+{
+    node &n = *m_nodes[index];
+    if (!n.exchange)
+        return;
+    n.members = m_members;
+    n.listRevision = m_listRevision;
+    n.exchange->updateMembers();
+}
+
+void allotment_fleet::setListed(std::size_t index, bool listed, duration readWithin)
 {
+    ++m_listRevision;
     if (listed)
-        m_members[idOf(index)] = memberAt(idOf(index).value(), static_cast<std::uint16_t>(index));
+        m_members[idOf(index)] = memberAt(idOf(index).value(), portOf(index));
     else
         m_members.erase(idOf(index));
     // Each instance learns of the change at another time.
     for (std::size_t i = 0; i < m_nodes.size(); ++i) {
-        later(duration(m_random.below(400000)), [this, i] {
-            if (m_nodes[i]->exchange)
-                m_nodes[i]->exchange->updateMembers();
-        });
+        later(duration(m_random.below(static_cast<std::uint64_t>(readWithin.count()))),
+              [this, i] { readList(i); });
+    }
+}
+
+std::size_t allotment_fleet::buckets() const
+{
+    std::size_t sum = 0;
+    for (const auto &n : m_nodes) {
+        if (n->exchange)
+            sum += n->counters.at("allotments.owned_teams").value();
     }
+    return sum;
 }
 
 std::size_t allotment_fleet::ownerOf(std::size_t team) const
@@ -251,7 +300,7 @@
                                            return rendezvousWeight(key, a.first.value()) <
                                                   rendezvousWeight(key, b.first.value());
                                        });
-    return best->second.peers.port;
+    return indexAt(best->second.peers.port);
 }
 
 void allotment_fleet::scheduleRequest(std::size_t caller)
@@ -278,7 +327,7 @@
     const std::int64_t slot = presentSlot();
     if (m_teams[index].reference->take(now))
         ++m_teams[index].slots[slot].withinLimit;
-    m_nodes[c.at]->exchange->take(*m_teams[index].spec, now + milliseconds(60),
+    m_nodes[c.at]->exchange->take(*m_teams[index].spec, now + m_wait,
                                   [this, index, now, slot](const allotment_decision &decision) {
                                       team &t = m_teams[index];
                                       t.outcome.waited += m_loop.now() > now ? 1 : 0;
--- a/unittests/gateway/allotment_fleet.h
+++ b/unittests/gateway/allotment_fleet.h
@@ -70,6 +70,8 @@
 
     /// Lets callers send requests for \p d.
     void run(duration d);
+    /// Sets how long a request waits for its token.
+    void setWait(duration wait) { m_wait = wait; }
     void setDemand(std::size_t team, double factor) { m_teams[team].demandFactor = factor; }
     /// Sets the limits of all teams to \p factor times their usual demand.
     void setLimits(double factor);
@@ -77,12 +79,17 @@
     void kill(std::size_t index);
     /// Starts a process, which learns of the instances after \p unknownFor.
     void restart(std::size_t index, duration unknownFor = milliseconds(100));
-    /// Lets all instances forget or know again the instance at \p index.
-    void setListed(std::size_t index, bool listed);
+    /// Ends a process in an orderly way: its callers move, and it answers messages for 2 s.
+    void stop(std::size_t index);
+    /// Removes the instance at \p index from the list of instances or adds it, which each process
+    /// learns within \p readWithin.
+    void setListed(std::size_t index, bool listed, duration readWithin = milliseconds(400));
     /// Cuts the instances with odd numbers off from those with even ones.
     void setPartitioned(bool partitioned) { m_isPartitioned = partitioned; }
     std::size_t ownerOf(std::size_t team) const;
     std::size_t size() const { return m_nodes.size(); }
+    /// Number of buckets that all processes keep.
+    std::size_t buckets() const;
     std::vector<team_outcome> outcomes() const;
     /// Forgets the outcomes so far, but not the requests in the last window.
     void resetOutcomes();
@@ -120,6 +127,7 @@
     };
 
     instance_id idOf(std::size_t index) const;
+    void readList(std::size_t index);
     void later(duration delay, std::function<void()> fn);
     void exchange(std::size_t from, std::size_t to, const http_request &request, duration timeout,
                   const outcome_hook &done);
@@ -136,13 +144,15 @@
     std::map<std::uint64_t, timer> m_timers;
     std::uint64_t m_nextTimer = 0;
     std::uint64_t m_version = 0;
+    /// The list of instances in the store, and its revision.
     member_map m_members;
-    const member_map m_noMembers;
+    std::uint64_t m_listRevision = 1;
     std::vector<std::unique_ptr<node>> m_nodes;
     std::vector<team> m_teams;
     std::vector<caller> m_callers;
     allotment_tolerance m_tolerance;
     bool m_isPartitioned = false;
+    duration m_wait = milliseconds(60);
     time_point m_outcomesSince;
     std::uint64_t m_messages = 0;
     std::uint64_t m_processes = 0;
--- a/unittests/gateway/view_exchange_test.cpp
+++ b/unittests/gateway/view_exchange_test.cpp
@@ -94,6 +94,38 @@
     EXPECT_EQ(replyTo(known).instances.size(), 3U);
 }
 
+// Guards against instances that go on for half a minute with a list that lacks a new one, whose
+// shares of all limits come on top of theirs meanwhile.
+TEST(view_exchange, learnsSoonOfAnAddedInstance)
+{
+    manual_loop loop;
+    scripted_store store(loop);
+    peer_network network(loop);
+    store.write("config", "main", "5");
+    store.write("servers", "a", "stone");
+    std::vector<std::unique_ptr<instance>> all;
+    const auto add = [&](const std::string &name, const char *dataCentre) {
+        member m = memberAt(name, static_cast<std::uint16_t>(all.size() + 1));
+        m.dataCentre = data_centre_id(dataCentre);
+        all.push_back(std::make_unique<instance>(loop, store, network, m));
+        all.back()->directory.start(instance_directory::initial_read::Immediate);
+        all.back()->exchange->start();
+    };
+    for (const char *dataCentre : {"dc", "dc", "dc", "far", "far", "far", "farther"}) {
+        add("front-" + std::to_string(all.size()), dataCentre);
+        loop.advance(milliseconds(100));
+    }
+    loop.advance(seconds(60));
+    for (const char *dataCentre : {"dc", "farther"}) {
+        add("added-" + std::to_string(all.size()), dataCentre);
+        loop.advance(seconds(3));
+        EXPECT_TRUE(all.back()->directory.isListed());
+        for (const auto &each : all)
+            EXPECT_EQ(each->directory.members().size(), all.size())
+                    << each->directory.self().id.value();
+    }
+}
+
 // The entries of crashed instances were never removed and permanently reduced the shares of all
 // others.
 TEST(view_exchange, removesTheEntryOfALostInstance)
