Count requests as sent whose connection ended right after its opening

Cause: a connection that ended without a reply within 100 ms of its opening was taken for one that the server had refused, so that an idempotent request counted as not sent, neither against maxAttempts nor against the budget of extra attempts. The request had been written, and only a reply states that one has not run.

Change: what was written counts. So that resets by a server at its limit of connections do not use up the attempts, new connections to a server that refused one in the last 10 s are used only when a reset would have arrived.

The comment of doesNotCallAWrittenRequestNotRun no longer says that such a reset costs no attempt; its checks are as before.

--- a/include/peridotwheel/gateway/backend_server.h
+++ b/include/peridotwheel/gateway/backend_server.h
@@ -35,7 +35,8 @@
     reply_verdict verdict = reply_verdict::NotAnAnswer; ///< Valid for `Reply`.
     http_reply reply;                                   ///< Valid for `Reply`.
     /// Valid for `MayHaveRun`: whether the connection was new and had carried no reply, as when a
-    /// server resets connections beyond its limit without reading from them.
+    /// server resets connections beyond its limit without reading from them. It does not show that
+    /// the request has not run.
     bool probablyRefused = false;
 };
 
@@ -207,6 +208,9 @@
     slot *idleSlot(const attempt_spec &spec) const;
     slot *idleSlot(bool proven) const;
     bool isProven(const slot &s) const;
+    /// Time for which a new connection is not used, because the server may reset it.
+    duration acceptanceTime() const;
+    bool isAccepted(const slot &s) const;
     slot &open(connection_event reason);
     void report(connection_event event) const;
     void beginBusyPeriod();
@@ -285,6 +289,8 @@
     time_point m_heldOffUntil{};
     time_point m_connectAfter{};
     duration m_connectBackoff{};
+    /// When the server last refused a connection or probably did.
+    std::optional<time_point> m_refusedAt;
     time_point m_nextCheck{};
 };
 
--- a/lib/gateway/backend_server.cpp
+++ b/lib/gateway/backend_server.cpp
@@ -15,6 +15,11 @@
 /// A connection that has been open for this long has certainly been accepted: a refusal arrives
 /// within a round trip, and round trips are shorter.
 constexpr duration acceptedAfter = milliseconds(100);
+/// After a server has refused a connection, further ones are used only when a reset would have
+/// arrived, for this long; a request that is written before a reset may have run.
+constexpr duration refusalMemory = seconds(10);
+/// Time that a server takes to reset a connection beyond its limit, beside the round trip.
+constexpr duration resetSlack = milliseconds(5);
 /// Idle timeout of a server that does not state one; such a server is left to close idle
 /// connections itself.
 constexpr duration defaultIdleTimeout = std::chrono::hours(1);
@@ -63,6 +68,8 @@
     bool isOnDemand = false;
     bool hasReplied = false;
     time_point startedAt{};
+    /// Calls when the connection may be used.
+    timer acceptanceTimer;
     time_point openedAt{};
     time_point idleSince{};
     time_point busySince{};
@@ -266,6 +273,18 @@
     return s.hasReplied || m_env.loop.now() - s.openedAt >= acceptedAfter;
 }
 
+duration backend_server::acceptanceTime() const
+{
+    if (!m_refusedAt || m_env.loop.now() - *m_refusedAt >= refusalMemory)
+        return duration::zero();
+    return std::min(m_health.roundTrip() + resetSlack, acceptedAfter);
+}
+
+bool backend_server::isAccepted(const slot &s) const
+{
+    return s.hasReplied || !m_refusedAt || m_env.loop.now() - s.openedAt >= acceptanceTime();
+}
+
 backend_server::slot *backend_server::idleSlot(bool proven) const
 {
     attempt_spec any;
@@ -277,7 +296,7 @@
 {
     slot *best = nullptr;
     for (const auto &s : m_slots) {
-        const bool isUnproven = spec.needsProvenConnection && !isProven(*s);
+        const bool isUnproven = spec.needsProvenConnection ? !isProven(*s) : !isAccepted(*s);
         if (!s->isIdle() || isUnproven || isExcluded(spec, s->number))
             continue;
         // Prefers the most recently used connection, so that surplus ones become stale.
@@ -349,7 +368,7 @@
         return;
     std::size_t opening = 0;
     for (const auto &s : m_slots)
-        opening += s->isOpen ? 0 : 1;
+        opening += s->isOpen && (!s->isIdle() || isAccepted(*s)) ? 0 : 1;
     // Attempts that wait for the server's limit need no connection each.
     std::size_t needed = m_waiting.size();
     if (limitDelay(0) > duration::zero())
@@ -367,6 +386,8 @@
     s.isOpen = true;
     s.openedAt = now;
     s.idleSince = now;
+    if (const duration wait = acceptanceTime(); wait > duration::zero())
+        s.acceptanceTimer = m_env.loop.schedule(wait, [this] { dispatch(); });
     dispatch();
 }
 
@@ -398,6 +419,7 @@
 
 void backend_server::backOffConnects()
 {
+    m_refusedAt = m_env.loop.now();
     m_connectBackoff = std::clamp(m_connectBackoff * 2, initialConnectBackoff, maxConnectBackoff);
     m_connectAfter = m_env.loop.now() + m_connectBackoff;
 }
@@ -644,8 +666,9 @@
 {
     if (!m_health.isSuspect() || wantsNoRequests() || now < m_nextCheck || m_maxConnections == 0)
         return;
-    const bool isUnderWay = std::any_of(m_slots.begin(), m_slots.end(),
-                                        [](const auto &s) { return s->isChecking || !s->isOpen; });
+    const bool isUnderWay = std::any_of(m_slots.begin(), m_slots.end(), [this](const auto &s) {
+        return s->isChecking || !s->isOpen || (s->isIdle() && !isAccepted(*s));
+    });
     if (isUnderWay)
         return;
     m_nextCheck = now + checkInterval;
--- a/lib/gateway/running_request_retry.cpp
+++ b/lib/gateway/running_request_retry.cpp
@@ -170,10 +170,8 @@
     traceSent(*a);
     if (a->isSent)
         p.used.push_back({server.get(), a->connection});
-    // For an idempotent request a connection that was probably refused counts as not opened, since
-    // running it twice does no harm. Any other request may have run.
-    const bool sent =
-            result.end != attempt_end::NotSent && !(result.probablyRefused && isIdempotent());
+    // Only a server's reply shows that a request which was written has not run.
+    const bool sent = result.end != attempt_end::NotSent;
     if (sent)
         ++p.receivedAttempts;
     const bool isReply = result.end == attempt_end::Reply;
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -337,8 +337,8 @@
     EXPECT_EQ(counters.at("gateway.repeated_attempts").value(), 0U);
 }
 
-// A reset that is probably a refusal costs no extra attempt. The request was written all the same,
-// so it may have run and must not be reported as "not run".
+// A request that was written before a reset that is probably a refusal may have run and must not be
+// reported as "not run".
 TEST_F(gateway_requests, doesNotCallAWrittenRequestNotRun)
 {
     for (std::size_t r = 0; r < replicas; ++r) {
@@ -358,6 +358,37 @@
     EXPECT_NE(statusOf(client), 503);
 }
 
+// Guards against requests that run on more servers than `maxAttempts`, because an answer that was
+// lost on a new connection was taken for a connection that the server had refused.
+TEST_F(gateway_requests, countsALostAnswerOnANewConnectionAsARun)
+{
+    constexpr std::size_t count = 8;
+    for (std::size_t r = replicas; r < count; ++r)
+        addServer("plain", plainPort(r), "near");
+    for (std::size_t r = 0; r < count; ++r) {
+        plainServer(r).behaviour = server_behaviour::Reset;
+        plainServer(r).distance = milliseconds(2);
+    }
+    gate.setServers(servers);
+    member self;
+    self.id = instance_id("self");
+    gate.setInstances({{self.id, self}});
+    gate.setRoutes(std::make_shared<route_table>(configuration(1)));
+    loop.advance(milliseconds(60));
+    std::vector<std::shared_ptr<fake_client>> clients;
+    constexpr int burst = 4;
+    for (int i = 0; i < burst; ++i)
+        clients.push_back(send("/one/", "q" + std::to_string(i)));
+    loop.advance(seconds(2));
+    for (int i = 0; i < burst; ++i) {
+        const std::string id = "q" + std::to_string(i);
+        EXPECT_LE(backends.runs(id), 2U) << id;
+        EXPECT_TRUE(backends.runs(id) == 0 ||
+                    statusOf(clients[static_cast<std::size_t>(i)]) != 503);
+    }
+    EXPECT_GT(backends.arrivals(), 0U);
+}
+
 // On-call engineers must find the decisions on a failed request in the log by its id.
 TEST_F(gateway_requests, logsTheDecisionsOnAFailedRequest)
 {
