Test that a claim drops the tokens of a killed owner

review/9 showed 453 requests of a tenant in 5 s, 432.5 allowed: its owner was killed and began a new bucket while tokens of the former process were out elsewhere. The claims of buckets mend it, since all instances drop their tokens before a new bucket begins.

--- a/unittests/gateway/allotment_test.cpp
+++ b/unittests/gateway/allotment_test.cpp
@@ -287,6 +287,41 @@
     EXPECT_EQ(kept(), 1U) << "the process of the other instance has ended";
 }
 
+// Guards against tokens of an owner that was killed, which would come on top of the bucket that its
+// next process begins.
+TEST_F(allotment_exchange_test, dropsTheTokensOfAKilledOwner)
+{
+    setAllotment(1, tenPerSecond);
+    sent.clear();
+    take();
+    ASSERT_EQ(sent.size(), 1U);
+    allotment_reply reply;
+    reply.grants.emplace_back();
+    reply.grants[0].team = team_name("gold");
+    reply.grants[0].tokens = 5;
+    reply.grants[0].bucket = bucket_id(1);
+    http_outcome granting;
+    granting.reply = {200, {}, encodeAllotmentReply(reply)};
+    sent[0](granting);
+    ASSERT_EQ(decisions.size(), 1U);
+    loop.advance(milliseconds(1));
+    allotment_request claim;
+    claim.sender = sender("b", 0);
+    claim.address = endpoint{"10.0.0.1", 1};
+    claim.claims = {team_name("gold")};
+    claim.isFinalClaim = true;
+    opaque_request message;
+    message.body = encodeAllotmentRequest(claim);
+    captured_reply answer;
+    exchange.handleRequest(message, answer);
+    const auto read = decodeAllotmentReply(answer.value.body);
+    ASSERT_TRUE(read);
+    ASSERT_EQ(read.value().answers.size(), 1U);
+    EXPECT_EQ(read.value().answers[0].result, claim_result::None);
+    take();
+    EXPECT_EQ(decisions.size(), 1U) << "a token of the former process was used";
+}
+
 /// A gateway whose allotments the test decides.
 class allotment_gateway_test : public gateway_fixture
 {
