Drop tokens of an allotment when its limit changes

Cause: instances keep tokens for 40 s, also those that were granted under a former limit.

Change: an instance drops its tokens of a team when the limit of the team changes. Replies state the version of the owner's configuration; tokens of an owner that does not know the version yet are valid for a second.

--- a/lib/gateway/allotment_client.cpp
+++ b/lib/gateway/allotment_client.cpp
@@ -24,6 +24,8 @@
 /// Used tokens are reported within this time.
 constexpr duration reportDelay = milliseconds(500);
 constexpr duration sweepInterval = milliseconds(500);
+/// Validity of tokens from an owner that does not know the present limits yet.
+constexpr duration outdatedValidity = seconds(1);
 /// From this rate on, an instance asks for tokens again as soon as its owner has capacity.
 constexpr double frequentPerSecond = 2;
 /// An owner that does not answer in time is asked again after this time.
@@ -73,8 +75,11 @@
         }
         if (old == before.end() || old->second.owner != terms->second.owner)
             onOwnerChanged(team, s, now, decided);
-        else if (old->second.bounds != terms->second.bounds)
+        if (old != before.end() && old->second.bounds != terms->second.bounds) {
+            // Tokens of the former limit would come on top of what the new one allows.
             s.blockedUntil = time_point();
+            voidTokens(s, now);
+        }
         ++it;
     }
     const std::vector<instance_id> &known = m_instances;
@@ -124,9 +129,14 @@
     const auto found = m_teams.find(team);
     if (found == m_teams.end())
         return;
-    found->second.tokens = 0;
-    found->second.tokensDroppedAt = now;
-    ++found->second.bucketGeneration;
+    voidTokens(found->second, now);
+}
+
+void allotment_client::voidTokens(team_state &s, time_point now)
+{
+    s.tokens = 0;
+    s.tokensDroppedAt = now;
+    ++s.bucketGeneration;
 }
 
 void allotment_client::onPeerHeard(time_point now)
@@ -354,19 +364,20 @@
 }
 
 void allotment_client::onReply(const instance_id &owner, const allotment_reply &reply,
-                               time_point now)
+                               bool isOutdated, time_point now)
 {
     decided_requests decided;
     owner_link &link = m_links[owner];
     link.isInFlight = false;
     link.absentUntil = time_point();
     for (const auto &grant : reply.grants)
-        applyGrant(grant, owner, link.sentAt, now, decided);
+        applyGrant(grant, owner, isOutdated, link.sentAt, now, decided);
     callBack(decided);
 }
 
 void allotment_client::applyGrant(const allotment_grant &grant, const instance_id &owner,
-                                  time_point sentAt, time_point now, decided_requests &decided)
+                                  bool isOutdated, time_point sentAt, time_point now,
+                                  decided_requests &decided)
 {
     const auto found = m_teams.find(grant.team);
     const auto terms = m_terms.find(grant.team);
@@ -390,10 +401,11 @@
         s.tokens = 0;
         ++s.bucketGeneration;
     }
-    // A reply that was under way when the tokens were dropped may be from an earlier bucket.
+    // A reply that was under way when the tokens were dropped may be from an earlier bucket or of
+    // an earlier limit.
     if (!s.tokensDroppedAt || sentAt > *s.tokensDroppedAt) {
         s.tokens += grant.tokens;
-        s.tokenExpiry = sentAt + tokenValidity;
+        s.tokenExpiry = sentAt + (isOutdated ? outdatedValidity : tokenValidity);
     }
     if (grant.capacityIn) {
         s.blockedUntil = now + *grant.capacityIn;
--- a/lib/gateway/allotment_client.h
+++ b/lib/gateway/allotment_client.h
@@ -54,7 +54,9 @@
 
     /// Returns the messages that are due; each must be followed by `onReply` or `onNoReply`.
     std::vector<outgoing_allotment_request> takeDueMessages(time_point now);
-    void onReply(const instance_id &owner, const allotment_reply &reply, time_point now);
+    /// \p isOutdated tells whether the owner has an older configuration than this instance.
+    void onReply(const instance_id &owner, const allotment_reply &reply, bool isOutdated,
+                 time_point now);
     void onNoReply(const instance_id &owner, time_point now);
     /// Decides on the requests whose wait has ended. To be called at `nextDue`.
     void onTimer(time_point now);
@@ -138,8 +140,10 @@
     void requestTokensSoon(const team_state &s, const instance_id &owner, time_point now);
     void sendBy(const instance_id &owner, time_point at);
     std::optional<allotment_report> reportOf(const team_name &team, team_state &s, time_point now);
-    void applyGrant(const allotment_grant &grant, const instance_id &owner, time_point sentAt,
-                    time_point now, decided_requests &decided);
+    /// \p isOutdated tells whether the owner has an older configuration than this instance.
+    void applyGrant(const allotment_grant &grant, const instance_id &owner, bool isOutdated,
+                    time_point sentAt, time_point now, decided_requests &decided);
+    static void voidTokens(team_state &s, time_point now);
     void onOwnerChanged(const team_name &team, team_state &s, time_point now,
                         decided_requests &decided);
     void endWaits(const team_name &team, team_state &s, time_point now, decided_requests &decided);
--- a/lib/gateway/allotment_exchange.cpp
+++ b/lib/gateway/allotment_exchange.cpp
@@ -303,7 +303,8 @@
         if (!grant.isOwner)
             m_claims.onOwnerNamed(grant.team, grant.owner);
     }
-    m_client.onReply(from, reply, m_loop.now());
+    const bool isOutdated = reply.version.value() != 0 && reply.version < m_version;
+    m_client.onReply(from, reply, isOutdated, m_loop.now());
     sendDueMessages();
 }
 
--- a/unittests/gateway/allotment_fleet_test.cpp
+++ b/unittests/gateway/allotment_fleet_test.cpp
@@ -99,6 +99,26 @@
     check("limits");
 }
 
+// Guards against tokens of a higher limit that are used long after a lower one binds: the callers
+// pause while the limit is lowered, and all come back at once.
+TEST_P(allotment_fleet_test, usesNoTokensOfAFormerLimit)
+{
+    fleet.setLimits(20);
+    for (std::size_t i = 0; i < allotment_fleet::teamCount; ++i)
+        fleet.setDemand(i, 10);
+    fleet.run(seconds(10));
+    for (std::size_t i = 0; i < allotment_fleet::teamCount; ++i)
+        fleet.setDemand(i, 0.01);
+    fleet.run(seconds(1));
+    fleet.setLimits(0.2);
+    fleet.run(seconds(10));
+    fleet.resetOutcomes();
+    for (std::size_t i = 0; i < allotment_fleet::teamCount; ++i)
+        fleet.setDemand(i, 20);
+    fleet.run(seconds(10));
+    check("lowered limit", 0);
+}
+
 // Guards against a restarted owner that grants a second burst, and against instances that do not
 // return to it.
 TEST_P(allotment_fleet_test, servesWhatLiesWithinTheLimitWhenAnOwnerRestarts)
