Read the list of instances less often after a return of the store

Only the first registration of an added or restarted process is followed by an own read now, and watchers wait while missing members are kept anyway.

--- a/lib/gateway/instance_directory.cpp
+++ b/lib/gateway/instance_directory.cpp
@@ -79,6 +79,7 @@
     registerSelf();
     switch (when) {
     case initial_read::Immediate:
+        m_readsWhenRegistered = true;
         return readAll();
     case initial_read::Delayed:
         return scheduleWithJitter(
@@ -131,7 +132,8 @@
     if (!m_reading || !m_hasBeenRead || entry <= m_revision)
         return;
     const time_point now = m_loop.now();
-    if (now < m_nextEntryRead)
+    // After a return of the store many register again, and members that are missing are kept.
+    if (now < m_nextEntryRead || now < m_keepUnlistedUntil)
         return;
     m_nextEntryRead = now + entryReadInterval;
     scheduleWithJitter(
@@ -178,7 +180,8 @@
     if (written) {
         m_ownVersion = written.value();
         // Only a list with the own entry shows the instances that were registered before.
-        if (m_hasBeenRead && m_revision < *m_ownVersion)
+        if (std::exchange(m_readsWhenRegistered, false) && m_hasBeenRead &&
+            m_revision < *m_ownVersion)
             scheduleWithJitter(
                     entryReadDelay, [this] { readAll(); }, m_ownReadTimer);
         return;
--- a/lib/gateway/instance_directory.h
+++ b/lib/gateway/instance_directory.h
@@ -97,6 +97,8 @@
     object_version m_lastChangeRevision;
     bool m_hasBeenRead = false;
     bool m_isListed = false;
+    /// Whether the first registration is followed by a read of the list.
+    bool m_readsWhenRegistered = false;
     bool m_isDeregistered = false;
     bool m_reading = false;
     bool m_isSecondReadDue = true;
