Take only a valid reply for the answer to a claim

Found when reading the change again: a reply with any status but 200 to a claim, such as 400 or 503, counted as the answer of an earlier build, which keeps no bucket. Only the 404 of an earlier build counts now; other failures are asked again and logged (allotment_claim_not_answered), which they were not. The decoding that stood twice is one function.

--- a/lib/gateway/allotment_exchange.cpp
+++ b/lib/gateway/allotment_exchange.cpp
@@ -23,6 +23,7 @@
 /// Interval of the first round of empty messages, which opens the connections to all owners.
 constexpr duration firstRoundInterval = milliseconds(50);
 constexpr int ok = 200;
+constexpr int notFound = 404;
 /// An instance that goes before this one for a team is checked at most once in this time.
 constexpr duration checkInterval = milliseconds(500);
 /// Instances that are checked when this one is asked for a team whose bucket it does not keep.
@@ -33,6 +34,20 @@
 /// it as soon as an instance states that it is newer than theirs.
 constexpr duration listTravelTime = seconds(5);
 
+/// Returns the reply to a message, which is empty if the other instance runs an earlier build that
+/// does not know the message; nothing if there is no valid reply.
+std::optional<allotment_reply> readReply(const http_outcome &outcome)
+{
+    if (!outcome.ok())
+        return std::nullopt;
+    if (outcome.reply.status == notFound)
+        return allotment_reply();
+    if (outcome.reply.status != ok)
+        return std::nullopt;
+    auto reply = decodeAllotmentReply(outcome.reply.body);
+    return reply ? std::optional(std::move(reply).value()) : std::nullopt;
+}
+
 bool isLive(const member &m)
 {
     return m.state == member_state::Alive || m.state == member_state::Suspect;
@@ -330,18 +345,16 @@
     const time_point now = m_loop.now();
     if (outcome.ok())
         m_client.onPeerHeard(now);
-    const auto reply = outcome.ok() && outcome.reply.status == ok
-                               ? decodeAllotmentReply(outcome.reply.body)
-                               : result<allotment_reply>(allotment_reply());
+    const auto reply = readReply(outcome);
     // Earlier builds state no version and answer no claims.
-    const bool isUnanswered =
-            reply && reply.value().answers.empty() && reply.value().version.value() != 0;
-    if (!outcome.ok() || !reply || isUnanswered) {
+    const bool isUnanswered = reply && reply->answers.empty() && reply->version.value() != 0;
+    if (!reply || isUnanswered) {
+        m_log.decision("allotment_claim_not_answered").add("instance", claim.to.id.value());
         m_claims.onNoAnswer(claim, now);
         if (outcome.isRefused)
             onEnded(claim.to.id);
     } else {
-        m_claims.onAnswers(claim, reply.value().answers, now);
+        m_claims.onAnswers(claim, reply->answers, now);
     }
     sendDueClaims();
     sendDueMessages();
@@ -447,17 +460,15 @@
     allotment_request message = makeMessage();
     message.handedOver = buckets;
     sendMessage(to.address, message, [this, to, buckets, attempts](const http_outcome &outcome) {
-        const auto reply = outcome.ok() && outcome.reply.status == ok
-                                   ? decodeAllotmentReply(outcome.reply.body)
-                                   : result<allotment_reply>(allotment_reply());
-        if (!outcome.ok() || !reply) {
+        const auto reply = readReply(outcome);
+        if (!reply) {
             // The instance may have taken the buckets over all the same, so that no other one may.
             m_log.decision("allotment_not_handed_over")
                     .add("instance", to.id.value())
                     .add("teams", static_cast<std::int64_t>(buckets.size()));
             return;
         }
-        for (const auto &answer : reply.value().answers) {
+        for (const auto &answer : reply->answers) {
             const auto bucket =
                     std::find_if(buckets.begin(), buckets.end(),
                                  [&answer](const auto &b) { return b.team == answer.team; });
--- a/unittests/gateway/allotment_test.cpp
+++ b/unittests/gateway/allotment_test.cpp
@@ -287,6 +287,36 @@
     EXPECT_EQ(kept(), 1U) << "the process of the other instance has ended";
 }
 
+// Guards against a refusal of the message that is taken for the answer that there is no bucket;
+// only an instance of an earlier build, which does not know the message, cannot answer.
+TEST_F(allotment_exchange_test, takesNoErrorForTheAnswerToAClaim)
+{
+    areClaimsAnswered = false;
+    setAllotment(1, tenPerSecond);
+    const auto kept = [this] { return counters.at("allotments.owned_teams").value(); };
+    for (int i = 0; i < 100 && sent.size() < 2; ++i) {
+        const std::string name = "other-" + std::to_string(i);
+        members = {{instance_id("a"), memberAt("a", 5)}, {instance_id(name), memberAt(name, 1)}};
+        exchange.updateMembers();
+    }
+    const auto answerAll = [this](int status) {
+        for (int i = 0; i < 10; ++i) {
+            loop.advance(milliseconds(200));
+            for (const auto &done : std::exchange(sent, {})) {
+                http_outcome outcome;
+                outcome.reply.status = status;
+                done(outcome);
+            }
+        }
+    };
+    for (const int status : {400, 500, 503}) {
+        answerAll(status);
+        EXPECT_EQ(kept(), 0U) << status;
+    }
+    answerAll(404);
+    EXPECT_EQ(kept(), 1U) << "an earlier build has no such message";
+}
+
 // Guards against tokens of an owner that was killed, which would come on top of the bucket that its
 // next process begins.
 TEST_F(allotment_exchange_test, dropsTheTokensOfAKilledOwner)
